Add rules, membership, limits, hedging and the at-most-once ledger

The deciding parts come first, each a state machine without sockets or clock. Membership uses one quorum rule for ordinary ownership and for takeover: fresh acknowledgements of a majority, each saying that its author has withdrawn from every member ranked higher.

--- /dev/null
+++ b/crates/hedge/src/lib.rs
@@ -0,0 +1,22 @@
+//! When to send a second copy of a straggling part, and how much extra load that may cost.
+//!
+//! [`Delay`] follows the recent latencies of a service; [`Budget`] holds hedges, retries and
+//! warm-up copies together under a fraction of the ordinary load. Reasons are in
+//! `docs/design/hedging.md`.
+//!
+//! ```
+//! use std::time::{Duration, Instant};
+//!
+//! let now = Instant::now();
+//! let mut delay = hedge::Delay::default();
+//! for ms in 1..=100 {
+//!     delay.record(now, Duration::from_millis(ms));
+//! }
+//! assert!(delay.get() >= Duration::from_millis(90));
+//! ```
+
+mod budget;
+mod delay;
+
+pub use crate::budget::Budget;
+pub use crate::delay::Delay;
--- /dev/null
+++ b/crates/history/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/member/src/rank.rs
@@ -0,0 +1,28 @@
+//! Rendezvous ranking of hosts for a group.
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::roster::{HostId, Roster};
+
+/// Returns the rendezvous score of `host` for `key`; the greatest score owns.
+pub fn score(key: &str, host: &str) -> u64 {
+    let mut bytes = Vec::with_capacity(key.len() + host.len() + 1);
+    bytes.extend_from_slice(key.as_bytes());
+    bytes.push(0);
+    bytes.extend_from_slice(host.as_bytes());
+    xxh3_64(&bytes)
+}
+
+/// Ranks the members of `roster` for `key`, the owner first.
+///
+/// Members of `domain` come before all others, so that the loss of one failure domain moves no
+/// group of another.
+pub fn rank<'a>(roster: &'a Roster, domain: &str, key: &str) -> Vec<&'a HostId> {
+    let mut hosts: Vec<_> = roster
+        .members
+        .iter()
+        .map(|(host, entry)| (&*entry.domain == domain, score(key, host), host))
+        .collect();
+    hosts.sort_by(|a, b| b.cmp(a));
+    hosts.into_iter().map(|(_, _, host)| host).collect()
+}
--- /dev/null
+++ b/crates/rules/src/grammar.rs
@@ -0,0 +1,93 @@
+//! The grammar of a rule line, shared with the command line through `clap`.
+
+use std::time::Duration;
+
+use clap::builder::RangedU64ValueParser;
+use clap::{Arg, ArgAction, ArgMatches, Command};
+
+/// Most shards that one service may have; larger numbers are typing errors.
+const MAX_SHARDS: u64 = 100_000;
+
+/// Longest deadline that a rule may allow, in milliseconds; a takeover waits this long for the
+/// work of a lost owner, see `docs/design/ownership.md`.
+const MAX_DEADLINE_MS: u64 = 2_000;
+
+fn number(name: &'static str, most: u64) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name("N")
+        .value_parser(RangedU64ValueParser::<u64>::new().range(1..=most))
+}
+
+fn name() -> Arg {
+    Arg::new("name").required(true).value_parser(parse_name)
+}
+
+fn parse_name(text: &str) -> Result<Box<str>, String> {
+    let legal = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '-';
+    if text.is_empty() || text.len() > 64 || !text.chars().all(legal) {
+        return Err("expected 1 to 64 of a-z, 0-9 and -".into());
+    }
+    Ok(text.into())
+}
+
+/// Builds the grammar of one line.
+pub(crate) fn line() -> Command {
+    Command::new("rule")
+        .no_binary_name(true)
+        .disable_help_flag(true)
+        .disable_help_subcommand(true)
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("service")
+                .arg(name())
+                .arg(number("shards", MAX_SHARDS).required(true))
+                .arg(number("replicas", 64).required(true)),
+        )
+        .subcommand(
+            Command::new("limit")
+                .arg(name())
+                .arg(number("slots", 10_000).required(true))
+                .arg(number("connections", 100_000).required(true))
+                .arg(number("cold-slots", 10_000))
+                .arg(number("cold-successes", 1_000_000))
+                .arg(number("connect-cost-ms", 10_000)),
+        )
+        .subcommand(
+            Command::new("repeat")
+                .arg(name())
+                .arg(Arg::new("operation").long("operation").required(true).value_parser(parse_name))
+                .arg(Arg::new("never").long("never").action(ArgAction::SetTrue).required(true)),
+        )
+        .subcommand(
+            Command::new("deadline")
+                .arg(name())
+                .arg(number("default-ms", MAX_DEADLINE_MS).required(true))
+                .arg(number("max-ms", MAX_DEADLINE_MS)),
+        )
+        .subcommand(
+            Command::new("domain")
+                .arg(name())
+                .arg(Arg::new("out").long("out").action(ArgAction::SetTrue)),
+        )
+}
+
+/// Reads the name that every rule starts with.
+pub(crate) fn name_of(matches: &ArgMatches) -> Box<str> {
+    matches.get_one::<Box<str>>("name").cloned().unwrap_or_default()
+}
+
+/// Reads an operation's name.
+pub(crate) fn operation_of(matches: &ArgMatches) -> Box<str> {
+    matches.get_one::<Box<str>>("operation").cloned().unwrap_or_default()
+}
+
+/// Reads a number, or `default` where the option was left out.
+pub(crate) fn number_of(matches: &ArgMatches, option: &str, default: u32) -> u32 {
+    matches.get_one::<u64>(option).map_or(default, |n| u32::try_from(*n).unwrap_or(u32::MAX))
+}
+
+/// Reads a time in milliseconds, or `default` where the option was left out.
+pub(crate) fn time_of(matches: &ArgMatches, option: &str, default: Duration) -> Duration {
+    matches.get_one::<u64>(option).map_or(default, |n| Duration::from_millis(*n))
+}
--- /dev/null
+++ b/crates/rules/src/lib.rs
@@ -0,0 +1,27 @@
+//! The operators' rule file: one rule a line, each ending in a comment that names who asked.
+//!
+//! The file is read with the same grammar as a command line, so operators learn one syntax and
+//! see the same errors in both places. See `docs/operations/rules.md` for every rule.
+//!
+//! ```
+//! let text = "\
+//! domain perth-1                                        # asked by: night operator
+//! service live-faults --shards 20 --replicas 2          # asked by: hazard desk
+//! limit live-faults --slots 2 --connections 25          # asked by: hazard desk
+//! repeat live-faults --operation dispatch --never       # asked by: hazard desk
+//! ";
+//! let rules = rules::parse("example.rules", text).expect("the file has no fault");
+//! assert_eq!(rules.services["live-faults"].shards, 20);
+//! assert!(!rules.services["live-faults"].repeatable("dispatch"));
+//! ```
+
+mod edit;
+mod error;
+mod grammar;
+mod model;
+mod parse;
+
+pub use crate::edit::set_domain;
+pub use crate::error::{Error, Fault, Result};
+pub use crate::model::{Domain, DomainId, Limit, Rules, Service, ServiceId};
+pub use crate::parse::parse;
--- /dev/null
+++ b/crates/rules/src/model.rs
@@ -0,0 +1,92 @@
+//! What a rule file says, after it has been read without fault.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// Name of a service, as operators and callers write it.
+pub type ServiceId = Box<str>;
+
+/// Name of a failure domain.
+pub type DomainId = Box<str>;
+
+/// All rules of one file.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Rules {
+    /// Failure domains by name.
+    pub domains: BTreeMap<DomainId, Domain>,
+    /// Services by name.
+    pub services: BTreeMap<ServiceId, Service>,
+}
+
+impl Rules {
+    /// Returns whether `domain` is named and takes work.
+    pub fn takes_work(&self, domain: &str) -> bool {
+        self.domains.get(domain).is_some_and(|rule| !rule.out)
+    }
+}
+
+/// The rule of one failure domain.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Domain {
+    /// Whether operators have taken the domain out.
+    pub out: bool,
+    /// Who asked for the rule.
+    pub asked_by: Box<str>,
+    /// Line of the rule, counted from 1.
+    pub line: u32,
+}
+
+/// The rules of one service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Service {
+    /// Number of shards that operators expect; the upstreams' own map goes first.
+    pub shards: u32,
+    /// Number of upstreams that hold each shard.
+    pub replicas: u32,
+    /// What each upstream may bear.
+    pub limit: Limit,
+    /// Operations that must run at most once.
+    pub never_repeat: BTreeSet<Box<str>>,
+    /// Deadline of a request that names none.
+    pub default_deadline: Duration,
+    /// Longest deadline that a request may name.
+    pub max_deadline: Duration,
+    /// Who asked for each rule, with the rule's line, for `pistachioctl explain`.
+    pub asked_by: BTreeMap<u32, Box<str>>,
+}
+
+impl Service {
+    /// Returns whether `operation` may be sent more than once.
+    pub fn repeatable(&self, operation: &str) -> bool {
+        !self.never_repeat.contains(operation)
+    }
+}
+
+/// What one upstream may bear.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Limit {
+    /// Requests at a time when warm.
+    pub slots: u32,
+    /// Open connections at a time, from all of our hosts together.
+    pub connections: u32,
+    /// Time that the upstream spends on each new connection.
+    pub connect_cost: Duration,
+    /// Requests at a time in a cold start.
+    pub cold_slots: u32,
+    /// Successes that prove one more slot in a cold start.
+    pub cold_successes: u32,
+}
+
+impl Default for Limit {
+    fn default() -> Self {
+        Self {
+            slots: 1,
+            connections: 4,
+            connect_cost: Duration::from_millis(1),
+            cold_slots: 1,
+            cold_successes: 20,
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire/schema/node.capnp
@@ -0,0 +1,71 @@
+@0xd5c1f0a94b7e2a63;
+# Messages between brokers and egresses. Regenerate with the command in docs/STYLE.md.
+
+struct Part {
+  part @0 :UInt32;
+  upstream @1 :Text;
+  shard @2 :UInt32;
+}
+
+struct Batch {
+  query @0 :UInt64;
+  requestId @1 :Text;
+  service @2 :Text;
+  operation @3 :Text;
+  body @4 :Data;
+  snapshot @5 :UInt64;
+  shards @6 :UInt32;
+  budgetMicros @7 :UInt64;
+  traceparent @8 :Text;
+  parts @9 :List(Part);
+}
+
+struct Answer {
+  part @0 :UInt32;
+  outcome @1 :Outcome;
+  reason @2 :Text;
+  snapshot @3 :UInt64;
+  shard @4 :UInt32;
+  shards @5 :UInt32;
+  body @6 :Data;
+  micros @7 :UInt64;
+}
+
+enum Outcome {
+  ran @0;
+  notRun @1;
+  unknown @2;
+}
+
+interface Sink {
+  push @0 (answers :List(Answer)) -> ();
+}
+
+interface Node {
+  search @0 (batch :Batch, sink :Sink) -> ();
+  cancel @1 (query :UInt64, parts :List(UInt32)) -> ();
+  follow @2 (view :UInt64, report :UInt64) -> (view :UInt64, viewBody :Data, report :UInt64, reportBody :Data);
+  claim @3 (service :Text, requestId :Text) -> (verdict :Verdict);
+  settle @4 (service :Text, requestId :Text, ran :Bool) -> ();
+  release @5 (body :Data) -> ();
+}
+
+enum Verdict {
+  granted @0;
+  repeated @1;
+  unknown @2;
+  notOwner @3;
+}
+
+struct Heartbeat {
+  # One datagram of membership between egresses.
+  host @0 :Text;
+  incarnation @1 :UInt64;
+  epoch @2 :UInt64;
+  sequence @3 :UInt64;
+  ackSequence @4 :UInt64;
+  ackIncarnation @5 :UInt64;
+  withdrawn @6 :List(UInt64);
+  config @7 :UInt64;
+  leaving @8 :Bool;
+}
