--- /dev/null
+++ b/crates/broker/src/control.rs
@@ -0,0 +1,243 @@
+//! The control thread: follows every egress and publishes the scene.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+use kernel::Stop;
+use route::{Follow, Latest, Leave, Presence, Stage, Update};
+use tokio::sync::{Notify, watch};
+use tokio::task::spawn_local;
+
+use crate::metrics::Metrics;
+use crate::scene::{Scene, Told, candidates};
+use crate::settings::Settings;
+
+/// Time between two looks at the broker's own presence.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Pause before a lost egress is followed again.
+const RETRY_TIME: Duration = Duration::from_millis(200);
+
+/// Time after which a silent egress is followed over a fresh connection; an egress answers within
+/// three seconds even without news.
+const SILENT_TIME: Duration = Duration::from_millis(4_500);
+
+/// Searches in flight are told in steps of this size, so that few changes need a message.
+const LOAD_STEP: u32 = 8;
+
+/// Time for which a leaving broker refuses before it ends, so that no caller's request meets a
+/// closed socket.
+pub(crate) const REFUSE_TIME: Duration = Duration::from_millis(1_500);
+
+/// What the control thread needs from its surroundings.
+pub(crate) struct Wiring {
+    pub(crate) address: SocketAddr,
+    pub(crate) scene: watch::Sender<Arc<Scene>>,
+    pub(crate) in_flight: Arc<AtomicU32>,
+    pub(crate) metrics: Metrics,
+    pub(crate) stop: Stop,
+}
+
+struct State {
+    settings: Settings,
+    latest: Latest,
+    told: BTreeMap<Box<str>, Told>,
+    followed: BTreeMap<SocketAddr, ()>,
+    presence: watch::Sender<Presence>,
+    leave: Leave,
+    scene: watch::Sender<Arc<Scene>>,
+    metrics: Metrics,
+}
+
+/// Runs until the broker has left.
+pub(crate) async fn run(settings: Settings, mut wiring: Wiring) {
+    let presence = Presence {
+        host: settings.host.clone(),
+        address: wiring.address,
+        domain: settings.domain.clone(),
+        load: 0,
+        leaving: false,
+        config: 0,
+    };
+    let seeds = settings.egresses.clone();
+    let state = Rc::new(RefCell::new(State {
+        settings,
+        latest: Latest::default(),
+        told: BTreeMap::new(),
+        followed: BTreeMap::new(),
+        presence: watch::channel(presence).0,
+        leave: Leave::default(),
+        scene: wiring.scene,
+        metrics: wiring.metrics,
+    }));
+    let changed = Rc::new(Notify::new());
+    for seed in seeds {
+        follow(&state, &changed, seed);
+    }
+    let mut refusing_since = None;
+    loop {
+        tokio::select! {
+            () = changed.notified() => {}
+            () = tokio::time::sleep(TICK) => {}
+            () = wiring.stop.wait(), if !wiring.stop.is_set() => {}
+        }
+        let now = Instant::now();
+        let in_flight = wiring.in_flight.load(Ordering::Relaxed);
+        let stage = state.borrow_mut().publish(now, wiring.stop.is_set(), in_flight);
+        let egresses: Vec<_> = state.borrow().scene.borrow().egresses.values().copied().collect();
+        for egress in egresses {
+            follow(&state, &changed, egress);
+        }
+        if wiring.stop.is_set() && stage == Stage::Refusing {
+            let since = *refusing_since.get_or_insert(now);
+            if now >= since + REFUSE_TIME && in_flight == 0 {
+                return;
+            }
+        }
+    }
+}
+
+impl State {
+    /// Works the scene out anew.
+    fn publish(&mut self, now: Instant, stopping: bool, in_flight: u32) -> Stage {
+        let rules = self.latest.rules();
+        let out = rules.domains.get(&self.settings.domain).is_some_and(|rule| rule.out);
+        self.leave.set(now, stopping || out);
+        let stage = self.leave.stage(now);
+        let config = self.latest.config().revision;
+        self.presence.send_if_modified(|presence| {
+            let new = Presence {
+                load: in_flight / LOAD_STEP * LOAD_STEP,
+                leaving: stage != Stage::Listed,
+                config,
+                ..presence.clone()
+            };
+            let changed = *presence != new;
+            *presence = new;
+            changed
+        });
+        let own = self.presence.borrow().clone();
+        let newest = self.told.values().max_by_key(|told| told.view.epoch);
+        let view = newest.map(|told| told.view.clone()).unwrap_or_default();
+        let mut brokers = view.brokers;
+        brokers.retain(|broker| broker.host != own.host);
+        brokers.push(own);
+        let scene = Scene {
+            config: self.latest.config().clone(),
+            rules: self.scene.borrow().rules.clone(),
+            epoch: view.epoch,
+            egresses: view.egresses.into_iter().collect(),
+            brokers,
+            candidates: candidates(&self.settings.domain, rules, &self.told),
+            stage,
+        };
+        let old = self.scene.borrow().clone();
+        if scene.stage != old.stage {
+            log::info!("this broker is now {:?}", scene.stage);
+        }
+        let rules = if scene.config.revision == old.config.revision {
+            old.rules.clone()
+        } else {
+            log::info!("configuration {} is in force", scene.config.revision);
+            Arc::new(rules.clone())
+        };
+        self.metrics.config.set(i64::try_from(scene.config.revision).unwrap_or(i64::MAX));
+        let same = scene.config.revision == old.config.revision
+            && scene.candidates == old.candidates
+            && scene.brokers == old.brokers
+            && scene.egresses == old.egresses
+            && scene.stage == old.stage;
+        if !same {
+            self.scene.send_replace(Arc::new(Scene { rules, ..scene }));
+        }
+        stage
+    }
+
+    fn take(&mut self, host: &str, update: Update) {
+        if let Some(config) = update.config {
+            let revision = config.revision;
+            if let Err(error) = self.latest.advance(config) {
+                log::error!("configuration {revision} is refused: {error}");
+            }
+        }
+        let told = self.told.entry(host.into()).or_default();
+        if let Some(view) = update.view {
+            told.view = view;
+        }
+        if let Some(report) = update.report {
+            told.report = report;
+        }
+    }
+}
+
+/// Starts to follow an egress, unless it is followed already.
+fn follow(state: &Rc<RefCell<State>>, changed: &Rc<Notify>, egress: SocketAddr) {
+    if state.borrow_mut().followed.insert(egress, ()).is_some() {
+        return;
+    }
+    let (state, changed) = (state.clone(), changed.clone());
+    spawn_local(async move {
+        let mut misses = 0;
+        // An egress that left the roster is given up after a few tries.
+        while misses < 25 || state.borrow().settings.egresses.contains(&egress) {
+            let ended = follow_one(&state, &changed, egress).await;
+            let told = state.borrow_mut().told.remove(&Box::from(egress.to_string()));
+            if told.is_some() {
+                misses = 0;
+                log::info!("egress {egress} is lost: {ended}");
+                changed.notify_one();
+            }
+            misses += 1;
+            tokio::time::sleep(RETRY_TIME).await;
+        }
+        state.borrow_mut().followed.remove(&egress);
+    });
+}
+
+/// Follows one egress until its connection fails, and returns why.
+async fn follow_one(
+    state: &Rc<RefCell<State>>,
+    changed: &Rc<Notify>,
+    egress: SocketAddr,
+) -> Box<str> {
+    let node = match wire::connect(egress).await {
+        Ok(node) => node,
+        Err(error) => return error.to_string().into(),
+    };
+    let mut presence = state.borrow().presence.subscribe();
+    let mut known = Follow::default();
+    loop {
+        known.presence = Some(presence.borrow_and_update().clone());
+        known.config = state.borrow().latest.config().revision;
+        let mut call = node.client.follow_request();
+        call.get().set_known(&serde_json::to_vec(&known).unwrap_or_default());
+        let reply = tokio::select! {
+            reply = call.send().promise => reply,
+            _ = presence.changed() => continue,
+            () = tokio::time::sleep(SILENT_TIME) => return "it went silent".into(),
+        };
+        let update = reply.and_then(|reply| {
+            let bytes = reply.get()?.get_update()?;
+            serde_json::from_slice::<Update>(bytes).map_err(|e| capnp::Error::failed(e.to_string()))
+        });
+        let update = match update {
+            Ok(update) => update,
+            Err(error) => return error.to_string().into(),
+        };
+        if let Some(view) = &update.view {
+            known.view = view.version;
+        }
+        if let Some(report) = &update.report {
+            known.report = report.version;
+        }
+        state.borrow_mut().take(&egress.to_string(), update);
+        changed.notify_one();
+        // A burst of changes travels as one.
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
--- /dev/null
+++ b/crates/broker/src/engine.rs
@@ -0,0 +1,99 @@
+//! A traffic thread: runs searches over the scene.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use limit::Window;
+use query::{Outcome, Policy, Service};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::spawn_local;
+
+use crate::metrics::Metrics;
+use crate::nodes::Nodes;
+use crate::request::Request;
+use crate::scene::Scene;
+use crate::search;
+
+/// A request on its way to a traffic thread.
+pub(crate) struct Job {
+    pub(crate) request: Request,
+    pub(crate) received: std::time::Instant,
+    pub(crate) reply: oneshot::Sender<Outcome>,
+}
+
+/// What one traffic thread knows of one service.
+pub(crate) struct Lane {
+    pub(crate) service: Service,
+    pub(crate) window: Window,
+}
+
+/// State of one traffic thread.
+pub(crate) struct Engine {
+    pub(crate) scene: watch::Receiver<Arc<Scene>>,
+    pub(crate) nodes: Nodes,
+    pub(crate) metrics: Metrics,
+    pub(crate) baseline: bool,
+    lanes: RefCell<BTreeMap<Box<str>, Rc<RefCell<Lane>>>>,
+}
+
+impl Engine {
+    pub(crate) fn new(
+        scene: watch::Receiver<Arc<Scene>>,
+        metrics: Metrics,
+        baseline: bool,
+    ) -> Rc<Self> {
+        let nodes = Nodes::default();
+        Rc::new(Self { scene, nodes, metrics, baseline, lanes: RefCell::default() })
+    }
+
+    /// Takes jobs until their sender is gone.
+    pub(crate) async fn run(self: Rc<Self>, mut jobs: mpsc::UnboundedReceiver<Job>) {
+        let mut scene = self.scene.clone();
+        loop {
+            tokio::select! {
+                job = jobs.recv() => match job {
+                    Some(job) => _ = spawn_local(search::run(self.clone(), job)),
+                    None => return,
+                },
+                changed = scene.changed() => {
+                    if changed.is_err() {
+                        // Control ends first; the last searches still run.
+                        while let Some(job) = jobs.recv().await {
+                            spawn_local(search::run(self.clone(), job));
+                        }
+                        return;
+                    }
+                    self.take_scene();
+                }
+            }
+        }
+    }
+
+    /// Returns what is known of a service.
+    pub(crate) fn lane(&self, service: &str) -> Rc<RefCell<Lane>> {
+        let mut lanes = self.lanes.borrow_mut();
+        let new = || {
+            let policy = if self.baseline { Policy::baseline() } else { Policy::default() };
+            let lane = Lane { service: Service::new(policy), window: Window::default() };
+            Rc::new(RefCell::new(lane))
+        };
+        lanes.entry(service.into()).or_insert_with(new).clone()
+    }
+
+    fn take_scene(&self) {
+        let scene = self.scene.borrow().clone();
+        let owners = scene.candidates.values().flatten().map(|c| c.owner.clone());
+        let owners = owners.filter_map(|owner| owner.parse::<SocketAddr>().ok());
+        let mut addresses: Vec<_> = scene.egresses.values().copied().chain(owners).collect();
+        addresses.sort();
+        addresses.dedup();
+        self.nodes.keep(&addresses);
+        for service in scene.rules.services.keys() {
+            let candidates = scene.candidates.get(service).cloned().unwrap_or_default();
+            self.lane(service).borrow_mut().service.set_candidates(candidates);
+        }
+    }
+}
--- /dev/null
+++ b/crates/broker/src/http.rs
@@ -0,0 +1,206 @@
+//! Callers' HTTP.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
+use std::time::{Instant, SystemTime};
+
+use query::Outcome;
+use route::{ENTRY_LIFETIME, Stage, entries};
+use salvo::http::header::{CONNECTION, HeaderValue};
+use salvo::prelude::*;
+use tokio::sync::{mpsc, oneshot, watch};
+
+use crate::answer::{self, Answer};
+use crate::engine::Job;
+use crate::metrics::{self, Metrics};
+use crate::request::{self, Fault, MAX_BODY};
+use crate::scene::Scene;
+
+/// What all handlers share.
+pub(crate) struct Front {
+    pub(crate) domain: Box<str>,
+    pub(crate) scene: watch::Receiver<Arc<Scene>>,
+    pub(crate) engines: Vec<mpsc::UnboundedSender<Job>>,
+    pub(crate) next: AtomicUsize,
+    pub(crate) in_flight: Arc<AtomicU32>,
+    pub(crate) metrics: Metrics,
+}
+
+/// Counts a search in flight until its answer has been made.
+struct InFlight<'a>(&'a Front);
+
+impl<'a> InFlight<'a> {
+    fn new(front: &'a Front) -> Self {
+        front.in_flight.fetch_add(1, Ordering::Relaxed);
+        front.metrics.in_flight.inc();
+        Self(front)
+    }
+}
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+        self.0.metrics.in_flight.dec();
+    }
+}
+
+#[derive(Clone, Copy)]
+enum Page {
+    Search,
+    Entries,
+    Health,
+    Metrics,
+}
+
+struct Route {
+    front: Arc<Front>,
+    page: Page,
+}
+
+/// Makes the routes of callers.
+pub(crate) fn service(front: Arc<Front>) -> Service {
+    let route = |page| Route { front: front.clone(), page };
+    let router = Router::new()
+        .push(Router::with_path("v1/search/{service}").post(route(Page::Search)))
+        .push(Router::with_path("v1/entries").get(route(Page::Entries)))
+        .push(Router::with_path("healthz").get(route(Page::Health)))
+        .push(Router::with_path("metrics").get(route(Page::Metrics)));
+    Service::new(router).catcher(salvo::catcher::Catcher::default().hoop(NotFound))
+}
+
+/// Answers unknown paths and wrong methods in the form of all other errors.
+struct NotFound;
+
+#[async_trait]
+impl Handler for NotFound {
+    async fn handle(
+        &self,
+        req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        ctrl: &mut FlowCtrl,
+    ) {
+        let path = req.uri().path().to_string();
+        let message = match res.status_code {
+            Some(StatusCode::NOT_FOUND) => format!("path \"{path}\" does not exist"),
+            Some(StatusCode::METHOD_NOT_ALLOWED) => {
+                format!("method {} does not fit path \"{path}\"", req.method())
+            }
+            _ => return,
+        };
+        res.render(Json(serde_json::json!({ "error": message })));
+        ctrl.skip_rest();
+    }
+}
+
+#[async_trait]
+impl Handler for Route {
+    async fn handle(
+        &self,
+        req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        match self.page {
+            Page::Search => self.front.search(req, res).await,
+            Page::Entries => self.front.entries(res),
+            Page::Health => self.front.health(res),
+            Page::Metrics => res.render(Text::Plain(self.front.metrics.text())),
+        }
+    }
+}
+
+fn write(res: &mut Response, status: u16, body: String) {
+    res.status_code(StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR));
+    res.render(Text::Json(body));
+}
+
+impl Front {
+    async fn search(&self, req: &mut Request, res: &mut Response) {
+        let received = Instant::now();
+        let in_flight = InFlight::new(self);
+        let scene = self.scene.borrow().clone();
+        if scene.stage == Stage::Refusing {
+            let entries = self.addresses(&scene);
+            let refused = answer::not_run("", "this host is leaving", entries);
+            res.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            return write(res, refused.status, refused.body);
+        }
+        if scene.config.revision == 0 {
+            let refused = answer::not_run("", "no configuration is known yet", Vec::new());
+            return write(res, refused.status, refused.body);
+        }
+        let request = match self.read(&scene, req).await {
+            Ok(request) => request,
+            Err(fault) => {
+                self.metrics.bad_requests.inc();
+                let body = serde_json::json!({ "error": fault.message }).to_string();
+                return write(res, fault.status, body);
+            }
+        };
+        let (id, service) = (request.id.clone(), request.service.clone());
+        let answer = answer::answer(&id, &self.run(request, received).await);
+        drop(in_flight);
+        self.count(&service, &answer, received);
+        write(res, answer.status, answer.body);
+    }
+
+    async fn read(&self, scene: &Scene, req: &mut Request) -> Result<request::Request, Fault> {
+        let service = req.param::<String>("service").unwrap_or_default();
+        let trace = req.header::<String>("traceparent");
+        let body = req.payload_with_max_size(MAX_BODY).await;
+        let body = body.map_err(|error| match error {
+            salvo::http::ParseError::PayloadTooLarge => Fault {
+                status: 413,
+                message: format!("the body is too large; expected at most {MAX_BODY} bytes"),
+            },
+            other => Fault { status: 400, message: format!("the body cannot be read: {other}") },
+        })?;
+        request::read(SystemTime::now(), &scene.rules, &service, body, trace.as_deref())
+    }
+
+    async fn run(&self, request: request::Request, received: Instant) -> Outcome {
+        let (reply, outcome) = oneshot::channel();
+        let place = self.next.fetch_add(1, Ordering::Relaxed) % self.engines.len();
+        if self.engines[place].send(Job { request, received, reply }).is_err() {
+            return Outcome::NotRun("this host has stopped".into());
+        }
+        outcome.await.unwrap_or_else(|_| Outcome::Unknown("this host has stopped".into()))
+    }
+
+    fn count(&self, service: &str, answer: &Answer, received: Instant) {
+        let labels = metrics::Outcome { service: service.into(), outcome: answer.outcome };
+        self.metrics.searches.get_or_create(&labels).inc();
+        self.metrics.seconds.observe(received.elapsed().as_secs_f64());
+    }
+
+    fn addresses(&self, scene: &Scene) -> Vec<String> {
+        let best = entries(&scene.rules, &self.domain, &scene.brokers);
+        best.iter().map(|broker| broker.address.to_string()).collect()
+    }
+
+    fn entries(&self, res: &mut Response) {
+        let scene = self.scene.borrow().clone();
+        let body = serde_json::json!({
+            "entries": self.addresses(&scene),
+            "lifetime_ms": ENTRY_LIFETIME.as_millis() as u64,
+        });
+        res.render(Json(body));
+    }
+
+    fn health(&self, res: &mut Response) {
+        let scene = self.scene.borrow().clone();
+        let ready = scene.config.revision > 0 && scene.stage == Stage::Listed;
+        if !ready {
+            res.status_code(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        res.render(Json(serde_json::json!({
+            "ready": ready,
+            "config": scene.config.revision,
+            "epoch": scene.epoch,
+            "upstreams": scene.candidates.values().map(Vec::len).sum::<usize>(),
+            "brokers": scene.brokers.iter().map(|b| (&*b.host, b.config)).collect::<Vec<_>>(),
+        })));
+    }
+}
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -1,1 +1,23 @@
-//! Placeholder.
+//! The broker: callers' entry to the tier.
+//!
+//! One thread follows the egresses and publishes an immutable [`Scene`]; traffic threads run
+//! searches over it, each with its own connections; the HTTP server passes requests to them. See
+//! `docs/ARCHITECTURE.md` for the way of one search.
+
+mod answer;
+mod control;
+mod engine;
+mod http;
+mod metrics;
+mod nodes;
+mod once;
+mod request;
+mod scene;
+mod search;
+mod settings;
+mod start;
+
+pub use crate::metrics::Metrics;
+pub use crate::scene::Scene;
+pub use crate::settings::{Builder, Settings};
+pub use crate::start::{Handle, start};
--- /dev/null
+++ b/crates/broker/src/once.rs
@@ -0,0 +1,71 @@
+//! The claim of a request that must run at most once.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use member::score;
+use wire::Node;
+use wire::node_capnp::Verdict;
+
+use crate::nodes::Nodes;
+use crate::scene::Scene;
+
+/// Buckets of the ledgers; the egresses use the same number.
+const BUCKETS: u64 = 16;
+
+/// Egresses that are asked for one claim, when the first is not the owner any more.
+const MOST_ASKED: usize = 4;
+
+/// Pause before the ranking is asked once more, as around a change of owner.
+const PAUSE: Duration = Duration::from_millis(30);
+
+/// What came of a claim.
+pub(crate) enum Claim {
+    /// This broker, and nobody else, may run the request; the connection takes it back.
+    Granted(Rc<Node>),
+    /// The request may have been run by another attempt.
+    Repeated,
+    /// Nobody can tell whether another attempt has run it.
+    Unknown,
+    /// No owner was reached, or it had no room; this attempt has run nothing.
+    Refused,
+}
+
+/// Claims the run of a request.
+///
+/// A claim whose answer is lost may stand; the request is then not run by this attempt, and a
+/// resend of its id is answered as unknown.
+pub(crate) async fn claim(nodes: &Nodes, scene: &Scene, id: &str, until: Instant) -> Claim {
+    let bucket = format!("once/{}", score(id, "bucket") % BUCKETS);
+    let mut ranked: Vec<_> = scene.egresses.iter().collect();
+    ranked.sort_by_key(|(host, _)| std::cmp::Reverse(score(&bucket, host)));
+    for _ in 0..2 {
+        for (_, address) in ranked.iter().take(MOST_ASKED) {
+            let Some(node) = nodes.get(&address.to_string()) else { continue };
+            let mut call = node.client.claim_request();
+            call.get().set_request_id(id);
+            let reply = tokio::time::timeout_at(until.into(), call.send().promise).await;
+            let verdict = match reply {
+                Ok(Ok(reply)) => reply.get().map(|reply| reply.get_verdict()),
+                _ => return Claim::Unknown,
+            };
+            match verdict {
+                Ok(Ok(Verdict::Granted)) => return Claim::Granted(node),
+                Ok(Ok(Verdict::Repeated)) => return Claim::Repeated,
+                Ok(Ok(Verdict::Refused)) => return Claim::Refused,
+                Ok(Ok(Verdict::NotOwner)) => {}
+                _ => return Claim::Unknown,
+            }
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    Claim::Refused
+}
+
+/// Takes a grant back, since the request has provably not run.
+pub(crate) async fn not_run(node: &Node, id: &str) {
+    let mut call = node.client.not_run_request();
+    call.get().set_request_id(id);
+    // Without it a resend is answered as unknown, which is true as well.
+    let _ = call.send().promise.await;
+}
--- /dev/null
+++ b/crates/broker/src/start.rs
@@ -0,0 +1,86 @@
+//! Starts a broker in this process.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, AtomicUsize};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use kernel::{Error, Result, Stop};
+use salvo::Server;
+use salvo::conn::tcp::TcpAcceptor;
+use tokio::sync::{mpsc, oneshot, watch};
+
+use crate::control::{self, Wiring};
+use crate::engine::Engine;
+use crate::http::{self, Front};
+use crate::metrics::Metrics;
+use crate::scene::Scene;
+use crate::settings::Settings;
+
+/// Longest time that the HTTP server waits for its last answers; a deadline is shorter.
+const LAST_ANSWERS: Duration = Duration::from_secs(5);
+
+/// A running broker.
+pub struct Handle {
+    /// Address for callers.
+    pub address: SocketAddr,
+    /// Its counters.
+    pub metrics: Metrics,
+    /// Its control state.
+    pub scene: watch::Receiver<Arc<Scene>>,
+    /// Its threads, which end after the stop.
+    pub threads: Vec<JoinHandle<()>>,
+}
+
+/// Starts a broker that runs until `stop`; its HTTP runs on the current runtime.
+///
+/// # Errors
+///
+/// Fails when the address cannot be listened on or a thread cannot be started.
+pub async fn start(settings: Settings, stop: Stop) -> Result<Handle> {
+    let listener = tokio::net::TcpListener::bind(settings.listen).await;
+    let listener = listener.map_err(|error| Error::bind(settings.listen, error))?;
+    let address = listener.local_addr().map_err(|error| Error::bind(settings.listen, error))?;
+    let acceptor = TcpAcceptor::try_from(listener).map_err(|e| Error::bind(address, e))?;
+
+    let metrics = Metrics::default();
+    let in_flight = Arc::new(AtomicU32::new(0));
+    let (publish, scene) = watch::channel(Arc::<Scene>::default());
+    let mut threads = Vec::new();
+    let mut engines = Vec::new();
+    for number in 0..settings.threads {
+        let (jobs, inbox) = mpsc::unbounded_channel();
+        let (scene, metrics, baseline) = (scene.clone(), metrics.clone(), settings.baseline);
+        let name = format!("{}-traffic-{number}", settings.host);
+        let run = move || async move { Engine::new(scene, metrics, baseline).run(inbox).await };
+        threads.push(kernel::spawn_local(&name, run)?);
+        engines.push(jobs);
+    }
+
+    let front = Arc::new(Front {
+        domain: settings.domain.clone(),
+        scene: scene.clone(),
+        engines,
+        next: AtomicUsize::new(0),
+        in_flight: in_flight.clone(),
+        metrics: metrics.clone(),
+    });
+    let server = Server::new(acceptor);
+    let server_handle = server.handle();
+    tokio::spawn(server.serve(http::service(front)));
+
+    let (left, has_left) = oneshot::channel();
+    tokio::spawn(async move {
+        let _ = has_left.await;
+        server_handle.stop_graceful(LAST_ANSWERS);
+    });
+    let wiring = Wiring { address, scene: publish, in_flight, metrics: metrics.clone(), stop };
+    let name = format!("{}-control", settings.host);
+    let run = move || async move {
+        control::run(settings, wiring).await;
+        let _ = left.send(());
+    };
+    threads.push(kernel::spawn_local(&name, run)?);
+    Ok(Handle { address, metrics, scene, threads })
+}
--- /dev/null
+++ b/crates/demo/src/cluster.rs
@@ -0,0 +1,197 @@
+//! Starts deployments, and stops and replaces their hosts.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use kernel::{Error, Process, Result, Stop};
+use route::{Edit, Host, Kind, Life};
+use rules::Rules;
+use standin::{Fleet, Platform, Recorder, Speed};
+use store::CONFIG_KEY;
+
+/// The Consortium's rule file.
+pub fn consortium() -> &'static str {
+    include_str!("../../../examples/consortium.rules")
+}
+
+/// Orzech-Pol's rule file.
+pub fn orzech_pol() -> &'static str {
+    include_str!("../../../examples/orzech-pol.rules")
+}
+
+/// Time by which the stand-in's list of hosts lags.
+const LIST_LAG: Duration = Duration::from_millis(1_000);
+
+/// What to start.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Text of the rule file.
+    pub rules: Box<str>,
+    /// Number of hosts, each with a broker and an egress.
+    pub hosts: usize,
+    /// Whether fences, ramps, hedges and pins are off.
+    pub baseline: bool,
+    /// How fast the upstreams work.
+    pub speed: Speed,
+    /// Whether upstreams start warm.
+    pub warm: bool,
+}
+
+/// One host of ours.
+pub struct Node {
+    /// Name of the host.
+    pub name: Box<str>,
+    /// Its failure domain.
+    pub domain: Box<str>,
+    /// Its broker.
+    pub broker: broker::Handle,
+    /// Its egress.
+    pub egress: egress::Handle,
+    broker_process: Option<Process<kernel::Running>>,
+    egress_process: Option<Process<kernel::Running>>,
+}
+
+/// A running deployment.
+pub struct Cluster {
+    /// What was started.
+    pub plan: Plan,
+    /// Its rules at the start.
+    pub rules: Rules,
+    /// The platform's stand-in.
+    pub platform: Platform,
+    /// The upstreams' stand-ins.
+    pub fleet: Fleet,
+    /// Where the history is written.
+    pub recorder: Recorder,
+    /// Our hosts.
+    pub nodes: Vec<Node>,
+    next_node: usize,
+}
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+impl Cluster {
+    /// Starts a deployment and waits until every upstream takes work.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the rules have a fault, when an address cannot be listened on, or when the
+    /// deployment is not ready within 30 s.
+    pub async fn start(plan: Plan, recorder: Recorder) -> Result<Self> {
+        let rules = rules::parse("rules", &plan.rules).map_err(Error::other)?;
+        let platform = Platform::start(loopback(), LIST_LAG).await.map_err(Error::other)?;
+        let fleet = Fleet::start(&rules, loopback(), plan.speed, &recorder).await;
+        let fleet = fleet.map_err(Error::other)?;
+        if plan.warm {
+            fleet.warm();
+        }
+        let edit = Edit::default().next("start", "demo", &plan.rules);
+        let value = serde_json::to_string(&edit).map_err(Error::other)?;
+        platform.put(CONFIG_KEY, &value);
+        platform.list(fleet.hosts());
+        let nodes = Vec::new();
+        let mut cluster = Self { plan, rules, platform, fleet, recorder, nodes, next_node: 0 };
+        for _ in 0..cluster.plan.hosts {
+            let domain = cluster.domain_of(cluster.next_node);
+            cluster.add_node(&domain).await?;
+        }
+        cluster.wait_ready(Duration::from_secs(30)).await?;
+        Ok(cluster)
+    }
+
+    fn domain_of(&self, number: usize) -> Box<str> {
+        let domains: Vec<_> = self.rules.domains.keys().collect();
+        domains[number % domains.len()].clone()
+    }
+
+    /// Starts one more host in a failure domain.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address cannot be listened on.
+    pub async fn add_node(&mut self, domain: &str) -> Result<()> {
+        let name = format!("host-{}", self.next_node);
+        self.next_node += 1;
+        let platform = self.platform.address().to_string();
+        let baseline = self.plan.baseline;
+        let settings = egress::Builder::new(&name, domain, loopback(), &platform);
+        let (egress_process, stop) = process(&name);
+        let egress = egress::start(settings.baseline(baseline).build(), stop)?;
+        let mut egresses = vec![egress.address];
+        egresses.extend(self.nodes.iter().map(|node| node.egress.address));
+        let settings = broker::Builder::new(&name, domain, loopback()).egresses(egresses);
+        let (broker_process, stop) = process(&name);
+        let broker = broker::start(settings.baseline(baseline).build(), stop).await?;
+        self.platform.list([Host {
+            id: name.clone().into(),
+            kind: Kind::Entry,
+            address: egress.address,
+            domain: domain.into(),
+            life: Life::Live,
+            place: None,
+        }]);
+        self.nodes.push(Node {
+            name: name.into(),
+            domain: domain.into(),
+            broker,
+            egress,
+            broker_process: Some(broker_process.run()),
+            egress_process: Some(egress_process.run()),
+        });
+        Ok(())
+    }
+
+    /// Waits until every upstream that may take work does, as every broker sees it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when `limit` passes first.
+    pub async fn wait_ready(&self, limit: Duration) -> Result<()> {
+        let start = Instant::now();
+        while !self.is_ready() {
+            if start.elapsed() > limit {
+                let seen = self.nodes.iter().map(|node| upstreams(&node.broker));
+                let seen = seen.collect::<Vec<_>>();
+                let wanted = self.fleet.upstreams.len();
+                let message =
+                    format!("the deployment is not ready: {seen:?} of {wanted} upstreams");
+                return Err(Error::other(message));
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        Ok(())
+    }
+
+    fn is_ready(&self) -> bool {
+        let all = self.fleet.upstreams.len();
+        self.nodes.iter().all(|node| upstreams(&node.broker) == all)
+    }
+
+    /// Stops a host as planned and takes it off the list; the rest is done in the background.
+    pub fn stop_node(&mut self, name: &str) {
+        let Some(place) = self.nodes.iter().position(|node| *node.name == *name) else { return };
+        let mut node = self.nodes.remove(place);
+        let platform = self.platform.clone();
+        std::thread::spawn(move || {
+            // The broker leaves first: callers' searches still need this host's egress.
+            for process in [node.broker_process.take(), node.egress_process.take()] {
+                if let Some(process) = process {
+                    process.drain().join();
+                }
+            }
+            platform.unlist(&[node.name]);
+        });
+    }
+}
+
+fn process(name: &str) -> (Process<kernel::Starting>, Stop) {
+    let process = Process::new(name);
+    let stop = process.stop();
+    (process, stop)
+}
+
+fn upstreams(broker: &broker::Handle) -> usize {
+    broker.scene.borrow().candidates.values().map(Vec::len).sum()
+}
--- a/crates/demo/src/lib.rs
+++ b/crates/demo/src/lib.rs
@@ -1,1 +1,5 @@
-//! Placeholder.
+//! A whole deployment on loopback in one process: stand-ins, egresses and brokers.
+
+mod cluster;
+
+pub use crate::cluster::{Cluster, Node, Plan, consortium, orzech_pol};
--- /dev/null
+++ b/crates/demo/src/main.rs
@@ -0,0 +1,163 @@
+//! `pistachio-demo`: the whole path on loopback in one process.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::{Arg, ArgAction, Command};
+use demo::{Cluster, Plan};
+use kernel::{Error, Result};
+use route::Edit;
+use serde_json::{Value, json};
+use standin::{Fleet, Platform, Recorder, Speed};
+use store::CONFIG_KEY;
+
+/// Hosts of each deployment.
+const HOSTS: usize = 3;
+
+fn command() -> Command {
+    Command::new("pistachio-demo")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("Runs both example deployments on loopback, with stand-ins for all around them")
+        .after_help(
+            "Without flags, asks one search of each service and prints one JSON line an answer.",
+        )
+        .arg(
+            Arg::new("serve")
+                .long("serve")
+                .action(ArgAction::SetTrue)
+                .help("Stay up until SIGTERM; the first line names the addresses"),
+        )
+        .arg(
+            Arg::new("stand-ins")
+                .long("stand-ins")
+                .value_name("FILE")
+                .conflicts_with("serve")
+                .help("Run only the stand-ins of a rule file: a platform and the upstreams"),
+        )
+        .arg(
+            kernel::address("platform-listen", "Address of the platform's stand-in")
+                .default_value("127.0.0.1:0"),
+        )
+        .arg(kernel::flag("log", "Log level, such as info or debug").default_value("warn"))
+}
+
+fn main() -> ExitCode {
+    let matches = command().get_matches();
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("pistachio-demo: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match runtime.block_on(run(&matches)) {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("pistachio-demo: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(matches: &clap::ArgMatches) -> Result<ExitCode> {
+    let level = matches.get_one::<String>("log").map_or("warn", String::as_str);
+    let _log = kernel::start_log(level)?;
+    let listen = matches.get_one::<SocketAddr>("platform-listen").copied();
+    let listen = listen.unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0)));
+    if let Some(file) = matches.get_one::<String>("stand-ins") {
+        return stand_ins(file, listen).await;
+    }
+    let mut clusters = Vec::new();
+    for (name, rules) in [("consortium", demo::consortium()), ("orzech-pol", demo::orzech_pol())] {
+        let plan = Plan {
+            rules: rules.into(),
+            hosts: HOSTS,
+            baseline: false,
+            speed: Speed::default(),
+            warm: true,
+        };
+        clusters.push((name, Cluster::start(plan, Recorder::off()).await?));
+    }
+    if matches.get_flag("serve") {
+        return serve(&clusters).await;
+    }
+    let mut all_complete = true;
+    for (name, cluster) in &clusters {
+        all_complete &= ask_all(name, cluster).await?;
+    }
+    Ok(if all_complete { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+/// Asks one search of each service; returns whether all answers were complete.
+async fn ask_all(name: &str, cluster: &Cluster) -> Result<bool> {
+    let client = reqwest::Client::builder().no_proxy().build().map_err(Error::other)?;
+    let mut all_complete = true;
+    for (number, service) in cluster.rules.services.keys().enumerate() {
+        let address = cluster.nodes[number % cluster.nodes.len()].broker.address;
+        let url = format!("http://{address}/v1/search/{service}");
+        let call = client.post(url).json(&json!({ "query": "collapsed bank" }));
+        let response = call.send().await.map_err(Error::other)?;
+        let mut answer: Value = response.json().await.map_err(Error::other)?;
+        all_complete &= answer["outcome"] == "complete";
+        answer["deployment"] = json!(name);
+        answer["service"] = json!(service);
+        println!("{answer}");
+    }
+    Ok(all_complete)
+}
+
+async fn serve(clusters: &[(&str, Cluster)]) -> Result<ExitCode> {
+    let brokers: Vec<String> = clusters
+        .iter()
+        .flat_map(|(_, c)| c.nodes.iter().map(|node| node.broker.address.to_string()))
+        .collect();
+    let platform: Vec<String> =
+        clusters.iter().map(|(_, c)| c.platform.address().to_string()).collect();
+    let deployments: Vec<Value> = clusters
+        .iter()
+        .map(|(name, c)| {
+            let brokers: Vec<_> = c.nodes.iter().map(|n| n.broker.address.to_string()).collect();
+            json!({
+                "deployment": name,
+                "brokers": brokers,
+                "platform": c.platform.address().to_string(),
+            })
+        })
+        .collect();
+    let line = json!({ "brokers": brokers, "platform": platform, "deployments": deployments });
+    println!("{line}");
+    wait_for_signal().await;
+    Ok(ExitCode::SUCCESS)
+}
+
+async fn stand_ins(file: &str, listen: SocketAddr) -> Result<ExitCode> {
+    let text = std::fs::read_to_string(file);
+    let text = text.map_err(|error| Error::other(format!("file \"{file}\": {error}")))?;
+    let rules = rules::parse(file, &text).map_err(Error::other)?;
+    let platform = Platform::start(listen, Duration::from_secs(1)).await;
+    let platform = platform.map_err(|error| Error::bind(listen, error))?;
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let fleet = Fleet::start(&rules, any, Speed::default(), &Recorder::off()).await;
+    let fleet = fleet.map_err(Error::other)?;
+    fleet.warm();
+    let edit = Edit::default().next("start", "demo", &text);
+    platform.put(CONFIG_KEY, &serde_json::to_string(&edit).map_err(Error::other)?);
+    platform.list(fleet.hosts());
+    let line = json!({
+        "platform": platform.address().to_string(),
+        "upstreams": fleet.upstreams.len(),
+    });
+    println!("{line}");
+    wait_for_signal().await;
+    Ok(ExitCode::SUCCESS)
+}
+
+async fn wait_for_signal() {
+    use tokio::signal::unix::{SignalKind, signal};
+    let mut terminate = signal(SignalKind::terminate()).expect("a runtime with signals");
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = tokio::signal::ctrl_c() => {}
+    }
+}
--- /dev/null
+++ b/crates/egress/src/calls.rs
@@ -0,0 +1,197 @@
+//! Calls that other hosts make.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use capnp::capability::Promise;
+use query::PartOutcome;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+use tracing::Instrument;
+use wire::node_capnp::{Outcome, Verdict, node, sink};
+
+use crate::part::{self, Batch};
+use crate::traffic::Traffic;
+
+/// Accepts connections until the process ends.
+pub(crate) async fn serve(listener: TcpListener, traffic: Rc<Traffic>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let caller = Rc::new(Caller { traffic: traffic.clone(), broker: RefCell::default() });
+        let gone = caller.clone();
+        spawn_local(async move {
+            let client: node::Client = capnp_rpc::new_client_from_rc(caller);
+            wire::accept(stream, client).await;
+            if let Some(host) = gone.broker.take() {
+                gone.traffic.forget(&host);
+            }
+        });
+    }
+}
+
+/// One connection from another host.
+struct Caller {
+    traffic: Rc<Traffic>,
+    broker: RefCell<Option<Box<str>>>,
+}
+
+/// Cancels the parts of a batch whose broker is gone.
+struct Guard {
+    traffic: Rc<Traffic>,
+    query: u64,
+    parts: Vec<u32>,
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        for part in &self.parts {
+            self.traffic.cancel(self.query, *part);
+        }
+    }
+}
+
+impl node::Server for Caller {
+    async fn search(
+        self: Rc<Self>,
+        params: node::SearchParams,
+        _results: node::SearchResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let (batch, sink) = (params.get_batch()?, params.get_sink()?);
+        let query = batch.get_query();
+        let shared = Rc::new(Batch {
+            request: batch.get_request_id()?.to_str()?.into(),
+            service: batch.get_service()?.to_str()?.into(),
+            operation: batch.get_operation()?.to_str()?.into(),
+            trace: batch.get_traceparent()?.to_str()?.into(),
+            body: Bytes::copy_from_slice(batch.get_body()?),
+            snapshot: batch.get_snapshot(),
+            deadline: Instant::now() + Duration::from_micros(batch.get_budget_micros()),
+        });
+        let span =
+            tracing::debug_span!("egress", trace = &*shared.trace, service = &*shared.service);
+        let (answers, inbox) = mpsc::unbounded_channel();
+        let mut parts = Vec::new();
+        for part in batch.get_parts()? {
+            let (id, upstream) = (part.get_part(), part.get_upstream()?.to_str()?.into());
+            parts.push(id);
+            let (traffic, shared, answers) =
+                (self.traffic.clone(), shared.clone(), answers.clone());
+            let cancel = traffic.begin(query, id);
+            spawn_local(async move {
+                let outcome = part::run(traffic.clone(), shared, upstream, cancel).await;
+                traffic.end(query, id);
+                let _ = answers.send((id, outcome));
+            });
+        }
+        drop(answers);
+        let _guard = Guard { traffic: self.traffic.clone(), query, parts };
+        push_all(sink, inbox).instrument(span).await
+    }
+
+    async fn cancel(
+        self: Rc<Self>,
+        params: node::CancelParams,
+        _results: node::CancelResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        for part in params.get_parts()? {
+            self.traffic.cancel(params.get_query(), part);
+        }
+        Ok(())
+    }
+
+    async fn follow(
+        self: Rc<Self>,
+        params: node::FollowParams,
+        mut results: node::FollowResults,
+    ) -> Result<(), capnp::Error> {
+        let failed = |error: serde_json::Error| capnp::Error::failed(error.to_string());
+        let known: route::Follow =
+            serde_json::from_slice(params.get()?.get_known()?).map_err(failed)?;
+        if let Some(presence) = &known.presence {
+            self.broker.replace(Some(presence.host.clone()));
+        }
+        let update = self.traffic.follow(known).await;
+        results.get().set_update(&serde_json::to_vec(&update).map_err(failed)?);
+        Ok(())
+    }
+
+    async fn claim(
+        self: Rc<Self>,
+        params: node::ClaimParams,
+        mut results: node::ClaimResults,
+    ) -> Result<(), capnp::Error> {
+        let id = params.get()?.get_request_id()?.to_str()?;
+        let verdict = match self.traffic.claim(id) {
+            Some(once::Verdict::Granted) => Verdict::Granted,
+            Some(once::Verdict::Repeated) => Verdict::Repeated,
+            Some(once::Verdict::Unknown) => Verdict::Unknown,
+            Some(once::Verdict::Refused) => Verdict::Refused,
+            None => Verdict::NotOwner,
+        };
+        results.get().set_verdict(verdict);
+        Ok(())
+    }
+
+    fn not_run(
+        self: Rc<Self>,
+        params: node::NotRunParams,
+        _results: node::NotRunResults,
+    ) -> impl Future<Output = Result<(), capnp::Error>> + 'static {
+        let taken = params.get().and_then(|params| {
+            self.traffic.not_run(params.get_request_id()?.to_str()?);
+            Ok(())
+        });
+        Promise::<(), capnp::Error>::from(taken)
+    }
+
+    async fn release(
+        self: Rc<Self>,
+        params: node::ReleaseParams,
+        _results: node::ReleaseResults,
+    ) -> Result<(), capnp::Error> {
+        let release = serde_json::from_slice(params.get()?.get_body()?)
+            .map_err(|error| capnp::Error::failed(error.to_string()))?;
+        self.traffic.take_over(release);
+        Ok(())
+    }
+}
+
+/// Passes answers on as they come; those that come while one message is on its way share the
+/// next.
+async fn push_all(
+    sink: sink::Client,
+    mut inbox: mpsc::UnboundedReceiver<(u32, PartOutcome)>,
+) -> Result<(), capnp::Error> {
+    let mut ready = Vec::new();
+    while inbox.recv_many(&mut ready, 64).await > 0 {
+        let mut call = sink.push_request();
+        let mut answers = call.get().init_answers(ready.len() as u32);
+        for (place, (part, outcome)) in ready.drain(..).enumerate() {
+            let mut answer = answers.reborrow().get(place as u32);
+            answer.set_part(part);
+            match outcome {
+                PartOutcome::Ran { snapshot, shard, shards, body } => {
+                    answer.set_outcome(Outcome::Ran);
+                    answer.set_snapshot(snapshot);
+                    answer.set_shard(shard);
+                    answer.set_shards(shards);
+                    answer.set_body(&body);
+                }
+                PartOutcome::NotRun(reason) => {
+                    answer.set_outcome(Outcome::NotRun);
+                    answer.set_reason(&*reason);
+                }
+                PartOutcome::Unknown(reason) => {
+                    answer.set_outcome(Outcome::Unknown);
+                    answer.set_reason(&*reason);
+                }
+            }
+        }
+        call.send().promise.await?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/egress/src/control.rs
@@ -0,0 +1,301 @@
+//! The control thread: feeds the membership state machine and publishes what traffic may do.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime};
+
+use kernel::Stop;
+use member::{Action, Key, Member, Roster};
+use route::{Hosts, Kind, Latest, Life, group};
+use rules::Rules;
+use store::{Client, ROSTER_KEY, Swap};
+use tokio::net::UdpSocket;
+use tokio::sync::{mpsc, watch};
+use tokio::task::spawn_local;
+
+use crate::feed::{self, Role};
+use crate::metrics::Metrics;
+use crate::settings::Settings;
+use crate::state::{Command, Control, Event, Grant, Target};
+
+/// Longest time between two looks at what is due.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Longest time that a stopping host waits to be taken out of the roster.
+const LEAVE_TIME: Duration = Duration::from_secs(6);
+
+/// Buckets of the at-most-once ledgers, each owned like a group of upstreams.
+pub(crate) const BUCKETS: u64 = 16;
+
+/// Largest datagram; a beat with a whole roster fits.
+const MAX_DATAGRAM: usize = 16 * 1024;
+
+/// Returns the group of the ledger that holds a request's id.
+pub(crate) fn bucket(id: &str) -> Key {
+    let number = member::score(id, "bucket") % BUCKETS;
+    Key { domain: "".into(), name: format!("once/{number}").into() }
+}
+
+/// What the control thread needs from its surroundings.
+pub(crate) struct Wiring {
+    pub(crate) udp: std::net::UdpSocket,
+    pub(crate) control: watch::Sender<Arc<Control>>,
+    pub(crate) events: (mpsc::UnboundedSender<Event>, mpsc::UnboundedReceiver<Event>),
+    pub(crate) commands: mpsc::UnboundedSender<Command>,
+    pub(crate) metrics: Metrics,
+    pub(crate) stop: Stop,
+}
+
+struct Loop {
+    settings: Settings,
+    member: Member,
+    latest: Latest,
+    rules: Arc<Rules>,
+    hosts: Arc<Hosts>,
+    targets: Arc<BTreeMap<Box<str>, Target>>,
+    grants: BTreeMap<Key, Grant>,
+    keys: BTreeSet<Key>,
+    udp: Rc<UdpSocket>,
+    store: Client,
+    control: watch::Sender<Arc<Control>>,
+    events: mpsc::UnboundedSender<Event>,
+    commands: mpsc::UnboundedSender<Command>,
+    role: watch::Sender<Role>,
+    metrics: Metrics,
+}
+
+/// Runs control until the process has left the roster.
+pub(crate) async fn run(settings: Settings, member: Member, wiring: Wiring) {
+    let Ok(udp) = UdpSocket::from_std(wiring.udp) else {
+        log::error!("the socket of beats cannot be used");
+        return;
+    };
+    let Ok(store) = Client::new(&settings.platform) else {
+        log::error!("the client of the platform cannot be set up");
+        return;
+    };
+    let (events, inbox) = wiring.events;
+    let role = watch::channel(Role::default()).0;
+    let mut state = Loop {
+        settings,
+        member,
+        latest: Latest::default(),
+        rules: Arc::default(),
+        hosts: Arc::default(),
+        targets: Arc::default(),
+        grants: BTreeMap::new(),
+        keys: BTreeSet::new(),
+        udp: Rc::new(udp),
+        store,
+        control: wiring.control,
+        events,
+        commands: wiring.commands,
+        role,
+        metrics: wiring.metrics,
+    };
+    feed::start(&state.settings, &state.store, &state.role, &state.events, &state.metrics);
+    state.run(inbox, wiring.stop).await;
+}
+
+impl Loop {
+    async fn run(&mut self, mut inbox: mpsc::UnboundedReceiver<Event>, mut stop: Stop) {
+        let udp = self.udp.clone();
+        let mut datagram = vec![0; MAX_DATAGRAM];
+        let mut leaving_since = None;
+        loop {
+            let now = Instant::now();
+            let due = self.member.next_tick(now).min(now + TICK);
+            tokio::select! {
+                received = udp.recv_from(&mut datagram) => {
+                    if let Ok((length, _)) = received {
+                        self.on_datagram(&datagram[..length]);
+                    }
+                }
+                Some(event) = inbox.recv() => self.on_event(event),
+                () = tokio::time::sleep_until(due.into()) => {}
+                () = stop.wait(), if leaving_since.is_none() => {
+                    leaving_since = Some(Instant::now());
+                    self.member.leave();
+                }
+            }
+            let actions = self.member.tick(Instant::now());
+            self.act(actions);
+            self.publish();
+            if let Some(since) = leaving_since
+                && (!self.member.is_member() || Instant::now() >= since + LEAVE_TIME)
+            {
+                return;
+            }
+        }
+    }
+
+    fn on_datagram(&mut self, bytes: &[u8]) {
+        self.metrics.beat_bytes.inc_by(bytes.len() as u64);
+        // Anything may arrive at an open port; what is no beat is dropped.
+        let Ok(beat) = wire::decode(bytes) else { return };
+        let actions = self.member.on_beat(Instant::now(), beat);
+        self.act(actions);
+    }
+
+    fn on_event(&mut self, event: Event) {
+        let now = Instant::now();
+        match event {
+            Event::Roster(value) => {
+                let roster = serde_json::from_str::<Roster>(&value.value).ok();
+                let actions = self.member.on_read(now, value.revision, roster);
+                self.act(actions);
+            }
+            Event::Config(config) => self.take_config(config),
+            Event::Hosts(hosts) => self.take_hosts(now, hosts),
+            Event::Written => self.read_roster(),
+            Event::Released(epoch, keys) => self.member.on_release(epoch, keys),
+        }
+    }
+
+    fn take_config(&mut self, config: route::Config) {
+        let revision = config.revision;
+        match self.latest.advance(config) {
+            Ok(true) => {
+                log::info!("configuration {revision} is in force");
+                self.rules = Arc::new(self.latest.rules().clone());
+                self.member.set_config(revision);
+                self.metrics.config.set(i64::try_from(revision).unwrap_or(i64::MAX));
+                self.set_targets();
+                self.set_presence();
+            }
+            Ok(false) => {}
+            Err(error) => log::error!("configuration {revision} is refused: {error}"),
+        }
+    }
+
+    /// Leaves the roster while operators have this host's failure domain out.
+    fn set_presence(&mut self) {
+        let rule = self.rules.domains.get(&self.settings.domain);
+        if rule.is_some_and(|rule| rule.out) {
+            self.member.leave();
+        } else {
+            self.member.stay();
+        }
+    }
+
+    fn take_hosts(&mut self, now: Instant, hosts: Hosts) {
+        let live = hosts.hosts.iter().filter(|host| host.kind == Kind::Entry);
+        self.member.on_list(now, &live.map(|host| host.id.clone()).collect());
+        if hosts.version <= self.hosts.version {
+            return;
+        }
+        self.hosts = Arc::new(hosts);
+        self.set_targets();
+    }
+
+    fn set_targets(&mut self) {
+        let mut targets = BTreeMap::new();
+        let mut keys: BTreeSet<Key> = (0..BUCKETS)
+            .map(|n| Key { domain: "".into(), name: format!("once/{n}").into() })
+            .collect();
+        for host in &self.hosts.hosts {
+            let Some(place) = &host.place else { continue };
+            let key = group(&place.service, &host.domain, place.shard);
+            keys.insert(key.clone());
+            let target = Target {
+                service: place.service.clone(),
+                domain: host.domain.clone(),
+                address: host.address,
+                shard: place.shard,
+                shards: place.shards,
+                closed: host.life == Life::Leaving || !self.rules.takes_work(&host.domain),
+                key,
+            };
+            targets.insert(host.id.clone(), target);
+        }
+        self.targets = Arc::new(targets);
+        self.keys.clone_from(&keys);
+        self.member.set_keys(keys);
+    }
+
+    fn act(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send(to, beat) => self.send(to, &beat),
+                Action::ReadRoster => self.read_roster(),
+                Action::WriteRoster(revision, roster) => self.write_roster(revision, &roster),
+                Action::Release(host, epoch, keys) => self.release(&host, epoch, keys),
+            }
+        }
+    }
+
+    fn send(&self, to: SocketAddr, beat: &member::Beat) {
+        let bytes = wire::encode(beat);
+        self.metrics.beats.inc();
+        self.metrics.beat_bytes.inc_by(bytes.len() as u64);
+        // A full socket loses the beat as the network may; the next one follows.
+        let _ = self.udp.try_send_to(&bytes, to);
+    }
+
+    fn read_roster(&self) {
+        let (store, events) = (self.store.clone(), self.events.clone());
+        self.metrics.platform_calls.inc();
+        spawn_local(async move {
+            if let Ok(value) = store.get(ROSTER_KEY).await {
+                let _ = events.send(Event::Roster(value));
+            }
+        });
+    }
+
+    fn write_roster(&self, expect: u64, roster: &Roster) {
+        let Ok(value) = serde_json::to_string(roster) else { return };
+        let (store, events) = (self.store.clone(), self.events.clone());
+        self.metrics.platform_calls.inc();
+        let (epoch, members) = (roster.epoch, roster.members.len());
+        spawn_local(async move {
+            let swap = Swap { expect, value: value.into(), lease_ms: None };
+            match store.swap(ROSTER_KEY, &swap).await {
+                Ok(Some(_)) => log::info!("roster {epoch} with {members} members was written"),
+                Ok(None) => {}
+                Err(error) => log::debug!("roster {epoch} was not written: {error}"),
+            }
+            // Whatever came of it, the value that stands decides.
+            let _ = events.send(Event::Written);
+        });
+    }
+
+    fn release(&mut self, host: &str, epoch: u64, keys: Vec<Key>) {
+        self.publish();
+        let Some(entry) = self.member.roster().members.get(host) else { return };
+        let _ = self.commands.send(Command { to: entry.address, epoch, keys });
+    }
+
+    fn publish(&mut self) {
+        let (now, wall) = (Instant::now(), SystemTime::now());
+        let mut grants = BTreeMap::new();
+        for key in &self.keys {
+            let Some(until) = self.member.may_send(now, key) else { continue };
+            let held = self.grants.get(key).filter(|grant| now < grant.until);
+            let since = held.map_or(wall, |grant| grant.since);
+            grants.insert(key.clone(), Grant { until, since });
+        }
+        let roster = self.member.roster();
+        if grants.keys().ne(self.grants.keys()) || roster.epoch != self.control.borrow().epoch {
+            log::info!("epoch {}: {} groups are owned here", roster.epoch, grants.len());
+            self.metrics.epoch.set(i64::try_from(roster.epoch).unwrap_or(i64::MAX));
+            self.metrics.groups.set(grants.len() as i64);
+        }
+        self.grants = grants;
+        let egresses: Vec<_> = roster.members.iter().map(|(h, e)| (h.clone(), e.address)).collect();
+        let newest = self.member.newest_config();
+        self.role.send_if_modified(|role| {
+            role.update(&self.settings, roster, &self.latest, &self.hosts, newest)
+        });
+        self.control.send_replace(Arc::new(Control {
+            config: self.latest.config().clone(),
+            rules: self.rules.clone(),
+            epoch: roster.epoch,
+            egresses,
+            grants: self.grants.clone(),
+            targets: self.targets.clone(),
+            hosts: self.hosts.clone(),
+        }));
+    }
+}
--- /dev/null
+++ b/crates/egress/src/main.rs
@@ -0,0 +1,73 @@
+//! `pistachio-egress`: owns upstreams for the brokers.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+
+use clap::{Arg, Command, value_parser};
+
+fn command() -> Command {
+    Command::new("pistachio-egress")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("Owns upstreams: their limits, cold starts, connections, and who may send to them")
+        .after_help(
+            "Every flag can be set by the environment variable PISTACHIO_NAME as well, such as \
+             PISTACHIO_LISTEN for --listen. SIGTERM hands the upstreams over and then stops.",
+        )
+        .arg(kernel::name("host", "Name of this host, which no other host has").required(true))
+        .arg(kernel::name("domain", "Failure domain of this host").required(true))
+        .arg(
+            kernel::address("listen", "Address for brokers and other egresses, TCP and UDP")
+                .required(true),
+        )
+        .arg(kernel::address("platform", "Address of the platform's service").required(true))
+        .arg(kernel::address("admin", "Address for GET /healthz and /metrics"))
+        .arg(
+            kernel::flag("peers", "Egresses to learn from while the platform is away")
+                .value_name("IP:PORT,...")
+                .value_delimiter(',')
+                .value_parser(value_parser!(SocketAddr)),
+        )
+        .arg(log_flag())
+}
+
+fn log_flag() -> Arg {
+    kernel::flag("log", "Log level, such as info or debug").default_value("info")
+}
+
+fn main() -> ExitCode {
+    let matches = command().get_matches();
+    match run(&matches) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("pistachio-egress: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(matches: &clap::ArgMatches) -> kernel::Result<()> {
+    let text = |name: &str| matches.get_one::<Box<str>>(name).cloned().unwrap_or_default();
+    let address = |name: &str| matches.get_one::<SocketAddr>(name).copied();
+    let level = matches.get_one::<String>("log").map_or("info", String::as_str);
+    let _log = kernel::start_log(level)?;
+    let (Some(listen), Some(platform)) = (address("listen"), address("platform")) else {
+        return Err(kernel::Error::other("--listen and --platform are needed"));
+    };
+    let peers = matches.get_many::<SocketAddr>("peers").unwrap_or_default().copied();
+    let platform = platform.to_string();
+    let builder = egress::Builder::new(&text("host"), &text("domain"), listen, &platform);
+    let settings = builder.peers(peers.collect()).build();
+
+    let mut process = kernel::Process::new("pistachio-egress");
+    let handle = egress::start(settings, process.stop())?;
+    let runtime = tokio::runtime::Runtime::new().map_err(kernel::Error::other)?;
+    if let Some(admin) = address("admin") {
+        runtime.block_on(handle.serve_admin(admin))?;
+    }
+    process.registry().register("egress", handle.metrics.clone());
+    handle.threads.into_iter().for_each(|thread| process.add_thread(thread));
+    let running = process.run();
+    runtime.block_on(running.wait_for_signal());
+    running.drain().join();
+    Ok(())
+}
--- /dev/null
+++ b/crates/history/tests/check.rs
@@ -0,0 +1,131 @@
+//! Every promise's checker sees a broken history, and passes a kept one.
+
+use std::time::Duration;
+
+use history::{Counts, Event, Label, What, Work, check};
+
+fn at(seconds: u64, what: What) -> Event {
+    Event { at: Duration::from_secs(seconds), what }
+}
+
+fn work() -> Work {
+    Work {
+        upstream: "u1".into(),
+        domain: "d1".into(),
+        request: "1-a".into(),
+        repeatable: true,
+        busy: 1,
+        slots: 2,
+        cold_slots: None,
+        just_turned_cold: false,
+    }
+}
+
+fn answered(label: Label, covered: u32, missing: &[u32], results: &[(u64, u32)]) -> What {
+    What::Answered {
+        request: "1-a".into(),
+        names: "1-a".into(),
+        label,
+        snapshot: 7,
+        covered,
+        total: 2,
+        missing: missing.into(),
+        results: results.into(),
+        own: true,
+    }
+}
+
+fn ran(repeatable: bool) -> What {
+    What::Ran { request: "1-a".into(), repeatable }
+}
+
+#[test]
+fn kept_promises_count_nothing() {
+    let history = [
+        at(0, What::Arrived(work())),
+        at(0, ran(false)),
+        at(1, answered(Label::Complete, 2, &[], &[(7, 0), (7, 1)])),
+        at(1, answered(Label::Partial, 1, &[1], &[(7, 0)])),
+        at(2, What::DomainOut("d1".into())),
+        at(6, What::Arrived(work())),
+        at(7, What::DomainIn("d1".into())),
+        at(30, What::Arrived(work())),
+        at(31, What::Accepted(3)),
+        at(32, What::InForce { node: "n".into(), revision: 2 }),
+        at(37, What::InForce { node: "n".into(), revision: 3 }),
+    ];
+    assert!(check(&history).is_clean(), "{:?}", check(&history));
+}
+
+#[test]
+fn overload_is_seen() {
+    let cold = Work { busy: 2, cold_slots: Some(1), ..work() };
+    let unknowable = Work { just_turned_cold: true, ..cold.clone() };
+    let full = Work { busy: 3, ..work() };
+    let counts = check(&[cold, unknowable, full].map(|work| at(0, What::Arrived(work))));
+    assert_eq!(counts, Counts { cold_overload: 1, limit_overload: 1, ..Counts::default() });
+}
+
+#[test]
+fn late_work_is_seen() {
+    let history = [
+        at(0, What::DomainOut("d1".into())),
+        at(0, What::Leaving("u1".into())),
+        at(6, What::Arrived(work())),
+    ];
+    let counts = check(&history);
+    assert_eq!((counts.late_domain_work, counts.late_leaving_work), (1, 1));
+}
+
+#[test]
+fn cut_and_wrong_answers_are_seen() {
+    let mut wrong = answered(Label::Complete, 2, &[], &[(7, 0), (7, 1)]);
+    if let What::Answered { names, .. } = &mut wrong {
+        *names = "1-b".into();
+    }
+    let counts = check(&[at(0, What::Cut { request: "1-a".into() }), at(0, wrong)]);
+    assert_eq!((counts.cut_requests, counts.wrong_answers), (1, 1));
+}
+
+#[test]
+fn mixed_snapshots_are_seen() {
+    let counts = check(&[at(0, answered(Label::Complete, 2, &[], &[(7, 0), (8, 1)]))]);
+    assert_eq!(counts.mixed_snapshots, 1);
+}
+
+#[test]
+fn second_run_and_false_not_run_are_seen() {
+    let refused = What::Answered {
+        request: "1-a".into(),
+        names: "1-a".into(),
+        label: Label::NotRun,
+        snapshot: 0,
+        covered: 0,
+        total: 0,
+        missing: Vec::new(),
+        results: Vec::new(),
+        own: true,
+    };
+    let counts = check(&[at(0, ran(false)), at(0, ran(false)), at(1, refused)]);
+    assert_eq!((counts.duplicate_runs, counts.false_not_run), (1, 1));
+    assert_eq!(check(&[at(0, ran(true)), at(0, ran(true))]), Counts::default());
+}
+
+#[test]
+fn false_coverage_is_seen() {
+    for broken in [
+        answered(Label::Complete, 2, &[], &[(7, 0)]),
+        answered(Label::Complete, 1, &[1], &[(7, 0)]),
+        answered(Label::Partial, 2, &[], &[(7, 0), (7, 1)]),
+        answered(Label::Partial, 1, &[0], &[(7, 0)]),
+    ] {
+        assert_eq!(check(&[at(0, broken)]).false_coverage, 1);
+    }
+}
+
+#[test]
+fn reverted_and_late_configurations_are_seen() {
+    let force = |second, revision| at(second, What::InForce { node: "n".into(), revision });
+    assert_eq!(check(&[force(0, 3), force(1, 2)]).config_reverts, 1);
+    assert_eq!(check(&[at(0, What::Accepted(4)), force(6, 3)]).config_reverts, 1);
+}
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -1,1 +1,23 @@
-//! Placeholder.
+//! The micro-kernel of every process: services that find each other by name, one thread for
+//! control state and others for traffic, and a life cycle that ends in a graceful stop.
+//!
+//! ```
+//! let process = kernel::Process::new("example");
+//! process.registry().register("greeting", "hello".to_string());
+//! let greeting = process.registry().find::<String>("greeting").expect("it is registered");
+//! assert_eq!(*greeting, "hello");
+//! ```
+
+mod error;
+mod flags;
+mod log;
+mod process;
+mod registry;
+mod thread;
+
+pub use crate::error::{Error, Result};
+pub use crate::flags::{address, flag, name, number};
+pub use crate::log::start_log;
+pub use crate::process::{Draining, Process, Running, Starting, Stop};
+pub use crate::registry::Registry;
+pub use crate::thread::spawn_local;
--- a/crates/limit/tests/gate.rs
+++ b/crates/limit/tests/gate.rs
@@ -143,7 +143,8 @@
         1 => Just(Event::Chill),
     ];
     let cases = std::env::var("PISTACHIO_PROPTEST_CASES").ok().and_then(|n| n.parse().ok());
-    let config = Config { cases: cases.unwrap_or(500), failure_persistence: None, ..Config::default() };
+    let config =
+        Config { cases: cases.unwrap_or(500), failure_persistence: None, ..Config::default() };
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[3; 32]);
     TestRunner::new_with_rng(config, rng)
         .run(&prop::collection::vec(event, 1..200), |events| check(&events))
--- a/crates/member/src/state.rs
+++ b/crates/member/src/state.rs
@@ -85,6 +85,7 @@
     keys: BTreeSet<Key>,
     carried: BTreeSet<Key>,
     released: BTreeSet<Key>,
+    early: (Epoch, BTreeSet<Key>),
     established: Option<Instant>,
     next_beats: Instant,
     next_read: Instant,
@@ -107,6 +108,7 @@
             keys: BTreeSet::new(),
             carried: BTreeSet::new(),
             released: BTreeSet::new(),
+            early: (0, BTreeSet::new()),
             established: None,
             next_beats: now,
             next_read: now,
@@ -146,11 +148,10 @@
         self.leaving = false;
     }
 
-    /// Returns the host that has told of the newest configuration, if newer than ours.
-    pub fn newer_config(&self) -> Option<(SocketAddr, u64)> {
-        let peers = self.peers.iter().filter(|(_, peer)| peer.config > self.config);
-        let (host, peer) = peers.max_by_key(|(_, peer)| peer.config)?;
-        Some((self.address_of(host)?, peer.config))
+    /// Returns the newest configuration revision that any beat has told of, ours included.
+    pub fn newest_config(&self) -> u64 {
+        let told = self.peers.values().map(|peer| peer.config);
+        told.max().unwrap_or(0).max(self.config)
     }
 
     /// Takes the platform's list of live hosts, which may lag.
@@ -177,6 +178,12 @@
     pub fn on_release(&mut self, epoch: Epoch, keys: impl IntoIterator<Item = Key>) {
         if epoch == self.roster.epoch {
             self.released.extend(keys);
+        } else if epoch > self.roster.epoch {
+            // The handover may come before the roster that it belongs to.
+            if epoch > self.early.0 {
+                self.early = (epoch, BTreeSet::new());
+            }
+            self.early.1.extend(keys);
         }
     }
 
@@ -272,9 +279,7 @@
     /// Returns whether what this epoch gives to this host has taken effect.
     fn has_gained(&self, now: Instant, key: &Key) -> bool {
         let Some(established) = self.established else { return false };
-        if self.roster.prior.is_empty()
-            || self.carried.contains(key)
-            || self.released.contains(key)
+        if self.roster.prior.is_empty() || self.carried.contains(key) || self.released.contains(key)
         {
             return true;
         }
@@ -286,12 +291,13 @@
         let accepts = |withdrawn: &BTreeSet<HostId>| higher.iter().all(|h| withdrawn.contains(*h));
         let own = accepts(&self.withdrawn()).then(|| now + self.settings.fence);
         let members = self.roster.members.keys();
-        let mut until: Vec<Instant> = members
-            .filter_map(|host| {
-                if *host == self.settings.host { own } else { self.acked(host, &accepts) }
-            })
-            .filter(|until| *until > now)
-            .collect();
+        let mut until: Vec<Instant> =
+            members
+                .filter_map(|host| {
+                    if *host == self.settings.host { own } else { self.acked(host, &accepts) }
+                })
+                .filter(|until| *until > now)
+                .collect();
         until.sort_by(|a, b| b.cmp(a));
         until.get(self.roster.majority() - 1).copied()
     }
@@ -324,6 +330,9 @@
         self.roster = roster;
         self.established = None;
         self.released.clear();
+        if self.early.0 == self.roster.epoch {
+            self.released = std::mem::take(&mut self.early.1);
+        }
         self.carried.clear();
         for host in self.roster.members.keys() {
             let peer = self.peers.entry(host.clone()).or_insert_with(|| Peer::new(now));
--- a/crates/member/tests/ownership.rs
+++ b/crates/member/tests/ownership.rs
@@ -70,10 +70,8 @@
 
 impl Cell {
     fn new(seed: u64, fenced: bool) -> Self {
-        let keys = (0..6).map(|k| Key {
-            domain: format!("d{}", k % 2).into(),
-            name: format!("g{k}").into(),
-        });
+        let keys = (0..6)
+            .map(|k| Key { domain: format!("d{}", k % 2).into(), name: format!("g{k}").into() });
         let mut cell = Self {
             start: Instant::now(),
             step: 0,
@@ -175,7 +173,7 @@
     fn act(&mut self, host: usize, actions: Vec<Action>) {
         for action in actions {
             match action {
-                Action::Send(to, beat) => self.carry(host, to, beat),
+                Action::Send(to, beat) => self.carry(host, to, &beat),
                 Action::ReadRoster => self.read(host),
                 Action::WriteRoster(revision, roster) => self.write(host, revision, roster),
                 Action::Release(to, epoch, keys) => self.release(host, &to, epoch, &keys),
@@ -183,7 +181,7 @@
         }
     }
 
-    fn carry(&mut self, from: usize, to: SocketAddr, beat: Beat) {
+    fn carry(&mut self, from: usize, to: SocketAddr, beat: &Beat) {
         let to = usize::from(to.port() - 7_000);
         let copies = match self.random(20) {
             0 => 0,
@@ -257,7 +255,7 @@
     }
 }
 
-/// Cases of one CI run; PISTACHIO_PROPTEST_CASES asks for a longer one.
+/// Cases of one CI run; `PISTACHIO_PROPTEST_CASES` asks for a longer one.
 const CASES: u32 = 150;
 
 fn runner() -> TestRunner {
--- /dev/null
+++ b/crates/query/tests/plan.rs
@@ -0,0 +1,289 @@
+//! Searches under losses, moves of the index and stragglers.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use assert_matches::assert_matches;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use query::{
+    Action, Candidate, Mode, Outcome, PartOutcome, Plan, Policy, Request, Send, Service, Warmth,
+};
+
+const MS: Duration = Duration::from_millis(1);
+
+fn candidate(shard: u32, shards: u32, replica: u32, snapshot: u64) -> Candidate {
+    Candidate {
+        upstream: format!("u{shard}-{replica}").into(),
+        owner: format!("e{replica}").into(),
+        shard,
+        shards,
+        snapshot,
+        warmth: Warmth::Warm,
+        near: replica == 0,
+    }
+}
+
+fn service(shards: u32, snapshot: u64) -> Service {
+    let mut service = Service::new(Policy::default());
+    let all = (0..shards).flat_map(|s| (0..2).map(move |r| candidate(s, shards, r, snapshot)));
+    service.set_candidates(all.collect());
+    service
+}
+
+fn search(now: Instant) -> Request {
+    Request { deadline: now + MS * 100, mode: Mode::Search, seed: 1 }
+}
+
+fn sends(actions: &[Action]) -> Vec<Send> {
+    let sends = actions.iter().filter_map(|action| match action {
+        Action::Send(send) => Some(send.clone()),
+        _ => None,
+    });
+    sends.collect()
+}
+
+fn finish(actions: &[Action]) -> Option<Outcome> {
+    actions.iter().find_map(|action| match action {
+        Action::Finish(outcome) => Some(outcome.clone()),
+        _ => None,
+    })
+}
+
+fn ran(send: &Send, snapshot: u64, shards: u32) -> PartOutcome {
+    let body = format!("{snapshot}:{}", send.shard).into_bytes();
+    PartOutcome::Ran { snapshot, shard: send.shard, shards, body }
+}
+
+#[test]
+fn all_shards_answered_is_complete() {
+    let now = Instant::now();
+    let mut service = service(3, 7);
+    let (mut plan, actions) = Plan::start(&mut service, search(now), now);
+    let mut last = Vec::new();
+    for send in sends(&actions) {
+        last = plan.on_part(&mut service, now, send.part, ran(&send, 7, 3));
+    }
+    assert_matches!(finish(&last), Some(Outcome::Complete { pin, results }) => {
+        assert_eq!((pin.snapshot, results.len()), (7, 3));
+    });
+}
+
+#[test]
+fn lost_shard_is_named_as_missing() {
+    let now = Instant::now();
+    let mut service = service(2, 7);
+    let (mut plan, actions) = Plan::start(&mut service, search(now), now);
+    let first = sends(&actions);
+    assert_eq!(plan.on_part(&mut service, now, first[0].part, ran(&first[0], 7, 2)), []);
+    let retry = plan.on_part(&mut service, now, first[1].part, PartOutcome::NotRun("gone".into()));
+    let retry = sends(&retry);
+    assert_ne!(retry[0].upstream, first[1].upstream);
+    let end = plan.on_part(&mut service, now, retry[0].part, PartOutcome::NotRun("gone".into()));
+    assert_matches!(finish(&end), Some(Outcome::Partial { missing, .. }) if missing == [1]);
+}
+
+#[test]
+fn answer_of_another_snapshot_is_never_merged() {
+    let now = Instant::now();
+    let mut service = service(2, 7);
+    let (mut plan, actions) = Plan::start(&mut service, search(now), now);
+    let first = sends(&actions);
+    plan.on_part(&mut service, now, first[0].part, ran(&first[0], 7, 2));
+    let mut open = vec![first[1].clone()];
+    let mut outcome = None;
+    // Every further answer comes from the newer snapshot.
+    while let Some(send) = open.pop() {
+        let actions = plan.on_part(&mut service, now, send.part, ran(&send, 8, 2));
+        open.extend(sends(&actions));
+        outcome = outcome.or(finish(&actions));
+    }
+    assert_matches!(outcome, Some(Outcome::Complete { pin, results }) => {
+        assert_eq!(pin.snapshot, 8);
+        assert!(results.values().all(|body| body.starts_with(b"8:")));
+    });
+}
+
+#[test]
+fn straggler_is_hedged_and_its_late_answer_dropped() {
+    let now = Instant::now();
+    let mut service = service(1, 7);
+    let (mut plan, actions) = Plan::start(&mut service, search(now), now);
+    let first = sends(&actions);
+    let due = plan.next_tick(&service);
+    let hedge = sends(&plan.tick(&mut service, due));
+    assert_eq!(hedge.len(), 1);
+    let end = plan.on_part(&mut service, due, hedge[0].part, ran(&hedge[0], 7, 1));
+    assert!(end.contains(&Action::Cancel(first[0].part)));
+    assert_matches!(finish(&end), Some(Outcome::Complete { .. }));
+    assert_eq!(plan.on_part(&mut service, due, first[0].part, ran(&first[0], 7, 1)), []);
+    assert_eq!(plan.dropped(), 1);
+}
+
+#[test]
+fn cold_upstream_gets_copies_and_no_callers_wait() {
+    let now = Instant::now();
+    let mut service = Service::new(Policy::default());
+    let mut cold = candidate(0, 1, 1, 7);
+    cold.warmth = Warmth::Cold;
+    service.set_candidates(vec![candidate(0, 1, 0, 7), cold]);
+    let mut copies = 0;
+    for _ in 0..1_000 {
+        let (mut plan, actions) = Plan::start(&mut service, search(now), now);
+        let first = sends(&actions);
+        assert_eq!(&*first[0].upstream, "u0-0");
+        copies += first.len() - 1;
+        plan.on_part(&mut service, now, first[0].part, ran(&first[0], 7, 1));
+    }
+    assert!((1..=60).contains(&copies), "{copies}");
+}
+
+#[test]
+fn request_of_one_run_is_never_sent_again_once_it_may_have_run() {
+    let now = Instant::now();
+    let mut service = service(4, 7);
+    let request = Request { deadline: now + MS * 100, mode: Mode::Once(6), seed: 1 };
+    let (mut plan, actions) = Plan::start(&mut service, request, now);
+    let first = sends(&actions);
+    assert_eq!((first.len(), first[0].shard), (1, 2));
+    let again = plan.on_part(&mut service, now, first[0].part, PartOutcome::NotRun("busy".into()));
+    let again = sends(&again);
+    assert_eq!(again.len(), 1);
+    let end = plan.on_part(&mut service, now, again[0].part, PartOutcome::Unknown("cut".into()));
+    assert_matches!(finish(&end), Some(Outcome::Unknown(_)));
+    assert_eq!(sends(&end), []);
+}
+
+#[test]
+fn nothing_sent_is_not_run_and_something_sent_is_unknown() {
+    let now = Instant::now();
+    let mut empty = Service::new(Policy::default());
+    let (_, actions) = Plan::start(&mut empty, search(now), now);
+    assert_matches!(finish(&actions), Some(Outcome::NotRun(_)));
+    let mut service = service(1, 7);
+    let (mut plan, _) = Plan::start(&mut service, search(now), now);
+    assert_matches!(finish(&plan.tick(&mut service, now + MS * 100)), Some(Outcome::Unknown(_)));
+}
+
+#[test]
+fn pin_is_the_snapshot_that_covers_most() {
+    let now = Instant::now();
+    let mut service = service(3, 7);
+    let mut all: Vec<_> = service.candidates().cloned().collect();
+    all[0].snapshot = 8;
+    service.set_candidates(all);
+    let (_, actions) = Plan::start(&mut service, search(now), now);
+    assert!(sends(&actions).iter().all(|send| send.pin.snapshot == 7));
+}
+
+/// What becomes of the nth part on its way.
+#[derive(Clone, Debug)]
+enum Event {
+    Answer(usize),
+    Moved(usize),
+    Refused(usize),
+    Lost(usize),
+    Doubled(usize),
+    Pass(u32),
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        5 => any::<usize>().prop_map(Event::Answer),
+        1 => any::<usize>().prop_map(Event::Moved),
+        2 => any::<usize>().prop_map(Event::Refused),
+        1 => any::<usize>().prop_map(Event::Lost),
+        1 => any::<usize>().prop_map(Event::Doubled),
+        2 => (1..30u32).prop_map(Event::Pass),
+    ]
+}
+
+#[test]
+fn outcome_is_true_in_any_order_of_events() {
+    let cases = std::env::var("PISTACHIO_PROPTEST_CASES").ok().and_then(|n| n.parse().ok());
+    let config =
+        Config { cases: cases.unwrap_or(600), failure_persistence: None, ..Config::default() };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[9; 32]);
+    let orders = (any::<bool>(), prop::collection::vec(event(), 1..80));
+    TestRunner::new_with_rng(config, rng)
+        .run(&orders, |(once, events)| check(once, &events))
+        .unwrap_or_else(|error| panic!("{error}"));
+}
+
+fn check(once: bool, events: &[Event]) -> Result<(), TestCaseError> {
+    let mut now = Instant::now();
+    let mut service = service(3, 7);
+    let mode = if once { Mode::Once(1) } else { Mode::Search };
+    let request = Request { deadline: now + MS * 100, mode, seed: 3 };
+    let (mut plan, mut actions) = Plan::start(&mut service, request, now);
+    let mut open: BTreeMap<u32, Send> = BTreeMap::new();
+    let mut old: Vec<Send> = Vec::new();
+    let mut runs = 0;
+    let mut unresolved: BTreeSet<u32> = BTreeSet::new();
+    let mut finished: Option<Outcome> = None;
+    for event in events.iter().chain([&Event::Pass(200)]) {
+        for action in actions.drain(..) {
+            prop_assert!(finished.is_none(), "an action after the end: {action:?}");
+            match action {
+                Action::Send(send) => {
+                    unresolved.insert(send.part);
+                    open.insert(send.part, send);
+                }
+                Action::Cancel(part) => old.extend(open.remove(&part)),
+                Action::Finish(outcome) => finished = Some(outcome),
+            }
+        }
+        let nth = |n: usize| open.keys().nth(n % open.len().max(1)).copied();
+        let (part, outcome) = match event {
+            Event::Pass(ms) => {
+                now += MS * *ms;
+                actions = plan.tick(&mut service, now);
+                continue;
+            }
+            Event::Doubled(n) if !old.is_empty() => {
+                let send = &old[n % old.len()];
+                (Some(send.part), ran(send, 7, 3))
+            }
+            Event::Answer(n) => (nth(*n), PartOutcome::Unknown("".into())),
+            Event::Moved(n) => (nth(*n), PartOutcome::Unknown("moved".into())),
+            Event::Refused(n) => (nth(*n), PartOutcome::NotRun("busy".into())),
+            Event::Lost(n) => (nth(*n), PartOutcome::Unknown("lost".into())),
+            Event::Doubled(_) => continue,
+        };
+        let Some(part) = part else { continue };
+        let outcome = match (event, open.get(&part)) {
+            (Event::Answer(_), Some(send)) => ran(send, send.pin.snapshot, 3),
+            (Event::Moved(_), Some(send)) => ran(send, 8, 3),
+            _ => outcome,
+        };
+        if let Some(send) = open.remove(&part) {
+            if matches!(outcome, PartOutcome::NotRun(_)) {
+                unresolved.remove(&part);
+            } else {
+                runs += 1;
+            }
+            old.push(send);
+        }
+        actions = plan.on_part(&mut service, now, part, outcome);
+    }
+    finished = finished.or_else(|| finish(&actions));
+    let Some(outcome) = finished else { return Err(TestCaseError::fail("no outcome")) };
+    if once {
+        prop_assert!(runs <= 1, "{runs} runs");
+    }
+    match outcome {
+        Outcome::Complete { pin, results } => {
+            prop_assert_eq!(results.len(), if once { 1 } else { 3 });
+            let mark = format!("{}:", pin.snapshot);
+            prop_assert!(results.values().all(|body| body.starts_with(mark.as_bytes())));
+        }
+        Outcome::Partial { pin, results, missing } => {
+            prop_assert_eq!(results.len() + missing.len(), 3);
+            let mark = format!("{}:", pin.snapshot);
+            prop_assert!(results.values().all(|body| body.starts_with(mark.as_bytes())));
+        }
+        Outcome::NotRun(_) => prop_assert!(unresolved.is_empty(), "{unresolved:?} may have run"),
+        Outcome::Unknown(_) => {}
+    }
+    Ok(())
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -1,1 +1,23 @@
-//! Placeholder.
+//! Hosts, upstream groups, configuration order, and which entry hosts callers should use.
+//!
+//! These are the facts that brokers and egresses share. Nothing here opens a socket; see
+//! `docs/ARCHITECTURE.md` for how the facts travel.
+//!
+//! ```
+//! let key = route::group("live-faults", "perth-1", 13);
+//! assert_eq!(&*key.name, "live-faults/perth-1/1");
+//! ```
+
+mod config;
+mod directory;
+mod group;
+mod hosts;
+mod leave;
+mod view;
+
+pub use crate::config::{Config, Edit, EditId, Latest, Revision};
+pub use crate::directory::{ENTRY_LIFETIME, Presence, entries};
+pub use crate::group::{GROUP_SHARDS, group};
+pub use crate::hosts::{Host, Hosts, Kind, Life, Place};
+pub use crate::leave::{Leave, Stage};
+pub use crate::view::{Follow, Report, Status, Update, View};
--- /dev/null
+++ b/crates/route/tests/route.rs
@@ -0,0 +1,65 @@
+//! Configuration order, the directory, and a broker's way out.
+
+use std::time::{Duration, Instant};
+
+use route::{Config, Edit, Latest, Leave, Presence, Stage, entries};
+
+const RULES: &str = "domain a # asked by: x\ndomain b --out # asked by: x\n";
+
+fn config(revision: u64, text: &str) -> Config {
+    Config { revision, edit: Edit { text: text.into(), ..Edit::default() } }
+}
+
+#[test]
+fn configuration_never_reverts_and_faults_are_refused() {
+    let mut latest = Latest::default();
+    assert!(latest.advance(config(5, RULES)).expect("no fault"));
+    assert!(!latest.advance(config(4, "domain c # asked by: y\n")).expect("old"));
+    assert!(latest.advance(config(6, "domain")).is_err());
+    assert_eq!(latest.config().revision, 5);
+    assert!(latest.advance(config(7, RULES)).expect("no fault"));
+}
+
+#[test]
+fn edit_is_found_after_others_have_followed() {
+    let mut edit = Edit::default();
+    for n in 0..40 {
+        edit = edit.next(&format!("e{n}"), "x", RULES);
+    }
+    assert!(edit.includes("e3") && edit.includes("e39") && !edit.includes("e40"));
+}
+
+#[test]
+fn directory_names_near_and_open_brokers_first() {
+    let rules = rules::parse("x", RULES).expect("no fault");
+    let broker = |host: &str, domain: &str, load, leaving| Presence {
+        host: host.into(),
+        address: "127.0.0.1:80".parse().expect("legal"),
+        domain: domain.into(),
+        load,
+        leaving,
+        config: 1,
+    };
+    let all = [
+        broker("1", "c", 0, false),
+        broker("2", "a", 8, false),
+        broker("3", "a", 0, true),
+        broker("4", "b", 0, false),
+        broker("5", "a", 24, false),
+    ];
+    let hosts: Vec<_> = entries(&rules, "a", &all).iter().map(|b| &*b.host).collect();
+    assert_eq!(hosts, ["2", "1", "5"]);
+}
+
+#[test]
+fn leaving_broker_serves_until_the_directory_has_forgotten_it() {
+    let now = Instant::now();
+    let mut leave = Leave::default();
+    assert_eq!(leave.stage(now), Stage::Listed);
+    leave.set(now, true);
+    leave.set(now + Duration::from_secs(1), true);
+    assert_eq!(leave.stage(now + Duration::from_millis(2_600)), Stage::Unlisted);
+    assert_eq!(leave.stage(now + Duration::from_millis(2_800)), Stage::Refusing);
+    leave.set(now, false);
+    assert_eq!(leave.stage(now), Stage::Listed);
+}
--- a/crates/rules/src/parse.rs
+++ b/crates/rules/src/parse.rs
@@ -23,7 +23,8 @@
 ///
 /// Lists every fault of the file, not only the first one.
 pub fn parse(file: &str, text: &str) -> Result<Rules> {
-    let mut reader = Reader { file, rules: Rules::default(), limited: Vec::new(), faults: Vec::new() };
+    let mut reader =
+        Reader { file, rules: Rules::default(), limited: Vec::new(), faults: Vec::new() };
     // Services come first, so that a rule may stand above the service it names.
     for pass in [Pass::Names, Pass::Details] {
         for (index, line) in text.lines().enumerate() {
--- /dev/null
+++ b/crates/standin/src/upstream.rs
@@ -0,0 +1,322 @@
+//! An upstream on a socket of its own.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use rand::RngExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+
+use crate::recorder::Recorder;
+use crate::work::{Arrival, Break, Speed, State, record_of};
+
+/// Longest that a request runs when it names no deadline.
+const LONGEST: Duration = Duration::from_secs(10);
+
+/// What an upstream is and bears.
+#[derive(Clone, Debug)]
+pub struct Spec {
+    /// Name of the upstream.
+    pub id: Box<str>,
+    /// Service that it answers for.
+    pub service: Box<str>,
+    /// Its failure domain.
+    pub domain: Box<str>,
+    /// Shard that it holds at first.
+    pub shard: u32,
+    /// Number of shards at first.
+    pub shards: u32,
+    /// Requests that it bears when warm.
+    pub slots: u32,
+    /// Connections that it accepts.
+    pub connections: u32,
+    /// Time that each new connection costs.
+    pub connect_cost: Duration,
+    /// Requests that it bears when cold.
+    pub cold_slots: u32,
+    /// Answers after which it is warm.
+    pub cold_work: u32,
+    /// Operations that must run at most once.
+    pub never_repeat: std::collections::BTreeSet<Box<str>>,
+    /// How fast it works.
+    pub speed: Speed,
+}
+
+struct Shared {
+    spec: Spec,
+    state: Mutex<State>,
+    closing: Notify,
+    recorder: Recorder,
+    connections_opened: std::sync::atomic::AtomicU64,
+}
+
+/// A handle on a running upstream; the socket closes with the runtime.
+#[derive(Clone)]
+pub struct Upstream {
+    shared: Arc<Shared>,
+    address: SocketAddr,
+}
+
+type Answer = Response<Full<Bytes>>;
+
+impl Upstream {
+    /// Starts an upstream on a free port of `listen`'s address, or on its port unless that is 0.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be listened on.
+    pub async fn start(
+        spec: Spec,
+        listen: SocketAddr,
+        recorder: Recorder,
+    ) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(listen).await?;
+        let address = listener.local_addr()?;
+        let state = Mutex::new(State::new(&spec));
+        let opened = std::sync::atomic::AtomicU64::new(0);
+        let closing = Notify::new();
+        let shared = Shared { spec, state, closing, recorder, connections_opened: opened };
+        let upstream = Self { shared: Arc::new(shared), address };
+        tokio::spawn(upstream.clone().accept(listener));
+        Ok(upstream)
+    }
+
+    /// Returns the upstream's address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns what the upstream is and bears.
+    pub fn spec(&self) -> &Spec {
+        &self.shared.spec
+    }
+
+    /// Returns the shard held now and the number of shards.
+    pub fn place(&self) -> (u32, u32) {
+        let state = self.state();
+        (state.shard, state.shards)
+    }
+
+    /// Works `factor` times slower from now on; 1 is the usual speed.
+    pub fn set_slow(&self, factor: u32) {
+        self.state().slow = factor;
+    }
+
+    /// Turns cold without a sign.
+    pub fn chill(&self) {
+        let work = self.shared.spec.cold_work;
+        self.state().chill(work);
+    }
+
+    /// Starts warm, as if it had run for long.
+    pub fn warm(&self) {
+        self.state().chill(0);
+    }
+
+    /// Stops, refuses connections for `down`, and starts cold.
+    pub fn restart(&self, down: Duration) {
+        let work = self.shared.spec.cold_work;
+        self.state().restart(Instant::now(), down, work);
+        self.shared.closing.notify_waiters();
+    }
+
+    /// Serves another snapshot, and perhaps another shard, from now on.
+    pub fn move_to(&self, snapshot: u64, shard: u32, shards: u32) {
+        self.state().move_to(Instant::now(), snapshot, shard, shards);
+    }
+
+    /// Lets every open connection go silent for good; new ones work.
+    pub fn mute_connections(&self) {
+        let mut state = self.state();
+        state.mute_below = state.opened;
+    }
+
+    /// Commits a violation from now on.
+    pub fn set_break(&self, what: Option<Break>) {
+        self.state().breaks = what;
+    }
+
+    /// Returns the number of connections opened so far.
+    pub fn connections_opened(&self) -> u64 {
+        self.shared.connections_opened.load(std::sync::atomic::Ordering::Relaxed)
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.shared.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn accept(self, listener: TcpListener) {
+        while let Ok((stream, _)) = listener.accept().await {
+            let number = {
+                let mut state = self.state();
+                let full = state.connections >= self.shared.spec.connections;
+                if full || state.is_down(Instant::now()) {
+                    // Dropped at once: the other end sees a reset or an end.
+                    let _ = stream.set_zero_linger();
+                    continue;
+                }
+                state.connections += 1;
+                state.opened += 1;
+                state.opened
+            };
+            self.shared.connections_opened.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+            let upstream = self.clone();
+            tokio::spawn(async move {
+                upstream.connection(stream, number).await;
+                upstream.state().connections -= 1;
+            });
+        }
+    }
+
+    async fn connection(&self, stream: TcpStream, number: u64) {
+        tokio::time::sleep(self.shared.spec.connect_cost).await;
+        let _ = stream.set_nodelay(true);
+        let life = self.state().life;
+        let service = service_fn(move |request| {
+            let upstream = self.clone();
+            async move { upstream.serve(request, number).await }
+        });
+        let http = hyper::server::conn::http1::Builder::new();
+        let serving = http.serve_connection(TokioIo::new(stream), service);
+        tokio::pin!(serving);
+        loop {
+            let closing = self.shared.closing.notified();
+            tokio::pin!(closing);
+            closing.as_mut().enable();
+            if self.state().life != life {
+                return;
+            }
+            tokio::select! {
+                _ = &mut serving => return,
+                () = closing => {}
+            }
+        }
+    }
+
+    async fn serve(self, request: Request<Incoming>, number: u64) -> Result<Answer, Infallible> {
+        if number <= self.state().mute_below {
+            std::future::pending::<()>().await;
+        }
+        let path = request.uri().path().to_string();
+        let answer = match (request.method(), path.as_str()) {
+            (&Method::POST, "/search") => self.search(request).await,
+            (&Method::DELETE, path) => self.cancel(path.trim_start_matches("/search/")),
+            (&Method::GET, "/load" | "/health") => self.load(),
+            _ => answer(StatusCode::NOT_FOUND, Bytes::new()),
+        };
+        Ok(answer)
+    }
+
+    fn cancel(&self, request: &str) -> Answer {
+        let found = self.state().cancel(request);
+        let status = if found { StatusCode::OK } else { StatusCode::NOT_FOUND };
+        answer(status, Bytes::new())
+    }
+
+    fn load(&self) -> Answer {
+        let state = self.state();
+        let body = serde_json::json!({
+            "busy": state.busy(),
+            "snapshot": state.snapshot,
+            "shard": state.shard,
+            "shards": state.shards,
+            "boot": state.boot,
+        });
+        answer(StatusCode::OK, body.to_string().into())
+    }
+
+    async fn search(&self, request: Request<Incoming>) -> Answer {
+        let header = |name: &str| {
+            request.headers().get(name).and_then(|value| value.to_str().ok()).map(str::to_string)
+        };
+        let id = header("x-request-id").unwrap_or_default();
+        let operation = header("x-operation").unwrap_or_default();
+        let asked = header("x-snapshot").and_then(|text| text.parse().ok());
+        let deadline = header("x-deadline-ms").and_then(|text| text.parse().ok());
+        let deadline = deadline.map_or(LONGEST, Duration::from_millis);
+        let Ok(body) = request.into_body().collect().await else {
+            return answer(StatusCode::BAD_REQUEST, Bytes::new());
+        };
+        self.run(&id, &operation, asked, deadline, &body.to_bytes()).await
+    }
+
+    async fn run(
+        &self,
+        id: &str,
+        operation: &str,
+        asked: Option<u64>,
+        deadline: Duration,
+        query: &[u8],
+    ) -> Answer {
+        let spec = &self.shared.spec;
+        let repeatable = !spec.never_repeat.contains(operation);
+        let jitter = rand::rng().random();
+        let now = Instant::now();
+        let (run, arrival) =
+            self.state().arrive(now, spec, id, repeatable, jitter, &self.shared.recorder);
+        let Arrival::Run(time, cancel) = arrival else {
+            if self.state().is_down(now) {
+                self.shared.closing.notify_waiters();
+            }
+            return shed();
+        };
+        // The guard ends the run also when the connection closes under it.
+        let mut guard = Guard { upstream: self, run, answered: false };
+        tokio::select! {
+            () = tokio::time::sleep(time.min(deadline)) => {}
+            () = cancel.notified() => return answer(StatusCode::CONFLICT, Bytes::new()),
+        }
+        if time > deadline {
+            return answer(StatusCode::GATEWAY_TIMEOUT, Bytes::new());
+        }
+        guard.answered = true;
+        let state = self.state();
+        if state.breaks == Some(Break::Shed) {
+            return shed();
+        }
+        let snapshot = state.snapshot_for(now, asked);
+        let shown = if state.breaks == Some(Break::Snapshot) { snapshot + 1 } else { snapshot };
+        let query = if state.breaks == Some(Break::Answer) { b"another".as_slice() } else { query };
+        let record = record_of(&spec.service, shown, state.shard, query);
+        let body = serde_json::json!([{ "record": record }]).to_string();
+        let response = Response::builder()
+            .header("x-snapshot", snapshot)
+            .header("x-shard", state.shard)
+            .header("x-shards", state.shards)
+            .header("x-boot", state.boot);
+        drop(state);
+        response.body(Full::new(body.into())).expect("the headers are legal")
+    }
+}
+
+struct Guard<'a> {
+    upstream: &'a Upstream,
+    run: u64,
+    answered: bool,
+}
+
+impl Drop for Guard<'_> {
+    fn drop(&mut self) {
+        self.upstream.state().end(self.run, self.answered);
+    }
+}
+
+fn shed() -> Answer {
+    let mut response = answer(StatusCode::TOO_MANY_REQUESTS, Bytes::new());
+    response.headers_mut().insert("x-shed", hyper::header::HeaderValue::from_static("1"));
+    response
+}
+
+fn answer(status: StatusCode, body: Bytes) -> Answer {
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = status;
+    response
+}
--- a/crates/wire/schema/node.capnp
+++ b/crates/wire/schema/node.capnp
@@ -44,9 +44,9 @@
 interface Node {
   search @0 (batch :Batch, sink :Sink) -> ();
   cancel @1 (query :UInt64, parts :List(UInt32)) -> ();
-  follow @2 (view :UInt64, report :UInt64) -> (view :UInt64, viewBody :Data, report :UInt64, reportBody :Data);
+  follow @2 (known :Data) -> (update :Data);
   claim @3 (service :Text, requestId :Text) -> (verdict :Verdict);
-  settle @4 (service :Text, requestId :Text, ran :Bool) -> ();
+  notRun @4 (service :Text, requestId :Text) -> ();
   release @5 (body :Data) -> ();
 }
 
@@ -55,6 +55,7 @@
   repeated @1;
   unknown @2;
   notOwner @3;
+  refused @4;
 }
 
 struct Heartbeat {
@@ -65,7 +66,11 @@
   sequence @3 :UInt64;
   ackSequence @4 :UInt64;
   ackIncarnation @5 :UInt64;
-  withdrawn @6 :List(UInt64);
+  withdrawn @6 :List(Text);
   config @7 :UInt64;
   leaving @8 :Bool;
+  entry @9 :Data;
+  # JSON, only while the receiver may not know the sender.
+  roster @10 :Data;
+  # JSON, only when the receiver was last seen with an older one.
 }
--- /dev/null
+++ b/crates/wire/src/call.rs
@@ -0,0 +1,75 @@
+//! Connections that carry calls.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use capnp_rpc::{RpcSystem, rpc_twoparty_capnp, twoparty};
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
+
+use crate::node_capnp::node;
+
+/// Time that a new connection between our own hosts may take.
+const CONNECT_TIME: Duration = Duration::from_millis(500);
+
+/// A connection to another host; it closes when dropped.
+pub struct Node {
+    /// The other host's calls.
+    pub client: node::Client,
+    driver: JoinHandle<()>,
+}
+
+impl Node {
+    /// Returns whether the connection has ended.
+    pub fn is_closed(&self) -> bool {
+        self.driver.is_finished()
+    }
+
+    /// Closes the connection, also while others still hold it; their calls fail.
+    pub fn close(&self) {
+        self.driver.abort();
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+fn network(
+    stream: TcpStream,
+    side: rpc_twoparty_capnp::Side,
+) -> Box<dyn capnp_rpc::VatNetwork<twoparty::VatId>> {
+    let (reader, writer) = stream.into_split();
+    Box::new(twoparty::VatNetwork::new(
+        futures::io::BufReader::new(reader.compat()),
+        futures::io::BufWriter::new(writer.compat_write()),
+        side,
+        capnp::message::ReaderOptions::new(),
+    ))
+}
+
+/// Connects to another host; must be called within a local task set.
+///
+/// # Errors
+///
+/// Fails when the host does not accept the connection in time.
+pub async fn connect(address: SocketAddr) -> std::io::Result<Node> {
+    let stream = tokio::time::timeout(CONNECT_TIME, TcpStream::connect(address)).await??;
+    stream.set_nodelay(true)?;
+    let mut system = RpcSystem::new(network(stream, rpc_twoparty_capnp::Side::Client), None);
+    let client = system.bootstrap(rpc_twoparty_capnp::Side::Server);
+    let driver = tokio::task::spawn_local(async move {
+        let _ = system.await;
+    });
+    Ok(Node { client, driver })
+}
+
+/// Serves calls on an accepted connection until it ends.
+pub async fn accept(stream: TcpStream, node: node::Client) {
+    let _ = stream.set_nodelay(true);
+    let side = rpc_twoparty_capnp::Side::Server;
+    let _ = RpcSystem::new(network(stream, side), Some(node.client)).await;
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,1 +1,35 @@
-//! Placeholder.
+//! Messages between the processes of the tier.
+//!
+//! Calls travel as `capnp-rpc` over TCP, beats as single packed datagrams over UDP. The generated
+//! code is committed, so that a build needs no generator; `docs/STYLE.md` has the command that
+//! made it.
+//!
+//! ```
+//! use member::Beat;
+//!
+//! let beat = Beat {
+//!     host: "egress-1".into(),
+//!     incarnation: 3,
+//!     epoch: 2,
+//!     sequence: 1,
+//!     ack: 0,
+//!     ack_incarnation: 0,
+//!     withdrawn: Default::default(),
+//!     config: 9,
+//!     leaving: false,
+//!     entry: None,
+//!     roster: None,
+//! };
+//! let bytes = wire::encode(&beat);
+//! assert!(bytes.len() < 100);
+//! assert_eq!(wire::decode(&bytes).expect("it was just encoded"), beat);
+//! ```
+
+mod beat;
+mod call;
+#[allow(missing_docs, unused_qualifications, clippy::all, clippy::pedantic)]
+#[rustfmt::skip]
+pub mod node_capnp;
+
+pub use crate::beat::{decode, encode};
+pub use crate::call::{Node, accept, connect};
--- a/crates/wire/src/node_capnp.rs
+++ b/crates/wire/src/node_capnp.rs
@@ -1767,8 +1767,8 @@
     pub type FollowResults<> = ::capnp::capability::Results<crate::node_capnp::node::follow_results::Owned>;
     pub type ClaimParams<> = ::capnp::capability::Params<crate::node_capnp::node::claim_params::Owned>;
     pub type ClaimResults<> = ::capnp::capability::Results<crate::node_capnp::node::claim_results::Owned>;
-    pub type SettleParams<> = ::capnp::capability::Params<crate::node_capnp::node::settle_params::Owned>;
-    pub type SettleResults<> = ::capnp::capability::Results<crate::node_capnp::node::settle_results::Owned>;
+    pub type NotRunParams<> = ::capnp::capability::Params<crate::node_capnp::node::not_run_params::Owned>;
+    pub type NotRunResults<> = ::capnp::capability::Results<crate::node_capnp::node::not_run_results::Owned>;
     pub type ReleaseParams<> = ::capnp::capability::Params<crate::node_capnp::node::release_params::Owned>;
     pub type ReleaseResults<> = ::capnp::capability::Results<crate::node_capnp::node::release_results::Owned>;
 
@@ -1832,7 +1832,7 @@
         pub fn claim_request(&self) -> ::capnp::capability::Request<crate::node_capnp::node::claim_params::Owned,crate::node_capnp::node::claim_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 3, ::core::option::Option::None)
         }
-        pub fn settle_request(&self) -> ::capnp::capability::Request<crate::node_capnp::node::settle_params::Owned,crate::node_capnp::node::settle_results::Owned> {
+        pub fn not_run_request(&self) -> ::capnp::capability::Request<crate::node_capnp::node::not_run_params::Owned,crate::node_capnp::node::not_run_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 4, ::core::option::Option::None)
         }
         pub fn release_request(&self) -> ::capnp::capability::Request<crate::node_capnp::node::release_params::Owned,crate::node_capnp::node::release_results::Owned> {
@@ -1844,7 +1844,7 @@
         fn cancel(self: ::capnp::capability::Rc<Self>, _: CancelParams<>, _: CancelResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method node::Server::cancel not implemented".to_string()))) }
         fn follow(self: ::capnp::capability::Rc<Self>, _: FollowParams<>, _: FollowResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method node::Server::follow not implemented".to_string()))) }
         fn claim(self: ::capnp::capability::Rc<Self>, _: ClaimParams<>, _: ClaimResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method node::Server::claim not implemented".to_string()))) }
-        fn settle(self: ::capnp::capability::Rc<Self>, _: SettleParams<>, _: SettleResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method node::Server::settle not implemented".to_string()))) }
+        fn not_run(self: ::capnp::capability::Rc<Self>, _: NotRunParams<>, _: NotRunResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method node::Server::not_run not implemented".to_string()))) }
         fn release(self: ::capnp::capability::Rc<Self>, _: ReleaseParams<>, _: ReleaseResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method node::Server::release not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
@@ -1879,7 +1879,7 @@
                 1 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::cancel(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 2 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::follow(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 3 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::claim(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
-                4 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::settle(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                4 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::not_run(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 5 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::release(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
@@ -2758,7 +2758,7 @@
             }
         }
 
-        impl <> Reader<'_,>  {
+        impl <'a,> Reader<'a,>  {
             pub fn reborrow(&self) -> Reader<'_,> {
                 Self { .. *self }
             }
@@ -2767,18 +2767,18 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_view(self) -> u64 {
-                self.reader.get_data_field::<u64>(0)
+            pub fn get_known(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn get_report(self) -> u64 {
-                self.reader.get_data_field::<u64>(1)
+            pub fn has_known(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
             }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2829,20 +2829,20 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_view(self) -> u64 {
-                self.builder.get_data_field::<u64>(0)
+            pub fn get_known(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_view(&mut self, value: u64)  {
-                self.builder.set_data_field::<u64>(0, value);
+            pub fn set_known(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
             }
             #[inline]
-            pub fn get_report(self) -> u64 {
-                self.builder.get_data_field::<u64>(1)
+            pub fn init_known(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
             }
             #[inline]
-            pub fn set_report(&mut self, value: u64)  {
-                self.builder.set_data_field::<u64>(1, value);
+            pub fn has_known(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
             }
         }
 
@@ -2855,59 +2855,43 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(80, 70, 29, 13, 90, 0, 224, 217),
-                ::capnp::word(16, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(110, 111, 100, 101, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 78, 111, 100, 101, 46),
                 ::capnp::word(102, 111, 108, 108, 111, 119, 36, 80),
                 ::capnp::word(97, 114, 97, 109, 115, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 58, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(118, 105, 101, 119, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(114, 101, 112, 111, 114, 116, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(107, 110, 111, 119, 110, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -2921,9 +2905,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
             pub(crate) const TYPE_ID: u64 = 0xd9e0_005a_0d1d_4650;
         }
     }
@@ -2990,34 +2974,18 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_view(self) -> u64 {
-                self.reader.get_data_field::<u64>(0)
-            }
-            #[inline]
-            pub fn get_view_body(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            pub fn get_update(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_view_body(&self) -> bool {
+            pub fn has_update(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
-            #[inline]
-            pub fn get_report(self) -> u64 {
-                self.reader.get_data_field::<u64>(1)
-            }
-            #[inline]
-            pub fn get_report_body(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn has_report_body(&self) -> bool {
-                !self.reader.get_pointer_field(1).is_null()
-            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3068,53 +3036,21 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_view(self) -> u64 {
-                self.builder.get_data_field::<u64>(0)
-            }
-            #[inline]
-            pub fn set_view(&mut self, value: u64)  {
-                self.builder.set_data_field::<u64>(0, value);
-            }
-            #[inline]
-            pub fn get_view_body(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            pub fn get_update(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_view_body(&mut self, value: ::capnp::data::Reader<'_>)  {
+            pub fn set_update(&mut self, value: ::capnp::data::Reader<'_>)  {
                 self.builder.reborrow().get_pointer_field(0).set_data(value);
             }
             #[inline]
-            pub fn init_view_body(self, size: u32) -> ::capnp::data::Builder<'a> {
+            pub fn init_update(self, size: u32) -> ::capnp::data::Builder<'a> {
                 self.builder.get_pointer_field(0).init_data(size)
             }
             #[inline]
-            pub fn has_view_body(&self) -> bool {
+            pub fn has_update(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
-            #[inline]
-            pub fn get_report(self) -> u64 {
-                self.builder.get_data_field::<u64>(1)
-            }
-            #[inline]
-            pub fn set_report(&mut self, value: u64)  {
-                self.builder.set_data_field::<u64>(1, value);
-            }
-            #[inline]
-            pub fn get_report_body(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn set_report_body(&mut self, value: ::capnp::data::Reader<'_>)  {
-                self.builder.reborrow().get_pointer_field(1).set_data(value);
-            }
-            #[inline]
-            pub fn init_report_body(self, size: u32) -> ::capnp::data::Builder<'a> {
-                self.builder.get_pointer_field(1).init_data(size)
-            }
-            #[inline]
-            pub fn has_report_body(&self) -> bool {
-                !self.builder.is_pointer_field_null(1)
-            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3126,79 +3062,32 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 79] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(135, 144, 2, 151, 228, 117, 171, 128),
-                ::capnp::word(16, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(110, 111, 100, 101, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 78, 111, 100, 101, 46),
                 ::capnp::word(102, 111, 108, 108, 111, 119, 36, 82),
                 ::capnp::word(101, 115, 117, 108, 116, 115, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(97, 0, 0, 0, 42, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(101, 0, 0, 0, 74, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(109, 0, 0, 0, 58, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(113, 0, 0, 0, 90, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(118, 105, 101, 119, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(118, 105, 101, 119, 66, 111, 100, 121),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(114, 101, 112, 111, 114, 116, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(114, 101, 112, 111, 114, 116, 66, 111),
-                ::capnp::word(100, 121, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(117, 112, 100, 97, 116, 101, 0, 0),
                 ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3209,10 +3098,7 @@
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    3 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -3226,9 +3112,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,0,1];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
             pub(crate) const TYPE_ID: u64 = 0x80ab_75e4_9702_9087;
         }
     }
@@ -3676,7 +3562,7 @@
         }
     }
 
-    pub mod settle_params {
+    pub mod not_run_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -3753,15 +3639,11 @@
             pub fn has_request_id(&self) -> bool {
                 !self.reader.get_pointer_field(1).is_null()
             }
-            #[inline]
-            pub fn get_ran(self) -> bool {
-                self.reader.get_bool_field(0)
-            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3843,14 +3725,6 @@
             pub fn has_request_id(&self) -> bool {
                 !self.builder.is_pointer_field_null(1)
             }
-            #[inline]
-            pub fn get_ran(self) -> bool {
-                self.builder.get_bool_field(0)
-            }
-            #[inline]
-            pub fn set_ran(&mut self, value: bool)  {
-                self.builder.set_bool_field(0, value);
-            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3862,45 +3736,38 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(64, 145, 237, 248, 131, 130, 31, 237),
-                ::capnp::word(16, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(110, 111, 100, 101, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 78, 111, 100, 101, 46),
-                ::capnp::word(115, 101, 116, 116, 108, 101, 36, 80),
+                ::capnp::word(110, 111, 116, 82, 117, 110, 36, 80),
                 ::capnp::word(97, 114, 97, 109, 115, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(73, 0, 0, 0, 82, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(81, 0, 0, 0, 34, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 82, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
                 ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3918,20 +3785,11 @@
                 ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(114, 97, 110, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                     1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    2 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -3945,14 +3803,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
             pub(crate) const TYPE_ID: u64 = 0xed1f_8283_f8ed_9140;
         }
     }
 
-    pub mod settle_results {
+    pub mod not_run_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -4093,7 +3951,7 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(110, 111, 100, 101, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 78, 111, 100, 101, 46),
-                ::capnp::word(115, 101, 116, 116, 108, 101, 36, 82),
+                ::capnp::word(110, 111, 116, 82, 117, 110, 36, 82),
                 ::capnp::word(101, 115, 117, 108, 116, 115, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
@@ -4495,6 +4353,7 @@
     Repeated = 1,
     Unknown = 2,
     NotOwner = 3,
+    Refused = 4,
 }
 
 impl ::capnp::introspect::Introspect for Verdict {
@@ -4511,6 +4370,7 @@
             1 => ::core::result::Result::Ok(Self::Repeated),
             2 => ::core::result::Result::Ok(Self::Unknown),
             3 => ::core::result::Result::Ok(Self::NotOwner),
+            4 => ::core::result::Result::Ok(Self::Refused),
             n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
         }
     }
@@ -4523,7 +4383,7 @@
     const TYPE_ID: u64 = 0xf3bb_a912_e940_41edu64;
 }
 mod verdict {
-pub(crate) static ENCODED_NODE: [::capnp::Word; 35] = [
+pub(crate) static ENCODED_NODE: [::capnp::Word; 39] = [
     ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
     ::capnp::word(237, 65, 64, 233, 18, 169, 187, 243),
     ::capnp::word(11, 0, 0, 0, 2, 0, 0, 0),
@@ -4533,25 +4393,28 @@
     ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
     ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(25, 0, 0, 0, 103, 0, 0, 0),
+    ::capnp::word(25, 0, 0, 0, 127, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(110, 111, 100, 101, 46, 99, 97, 112),
     ::capnp::word(110, 112, 58, 86, 101, 114, 100, 105),
     ::capnp::word(99, 116, 0, 0, 0, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-    ::capnp::word(16, 0, 0, 0, 1, 0, 2, 0),
+    ::capnp::word(20, 0, 0, 0, 1, 0, 2, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
+    ::capnp::word(53, 0, 0, 0, 66, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(33, 0, 0, 0, 74, 0, 0, 0),
+    ::capnp::word(45, 0, 0, 0, 74, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(29, 0, 0, 0, 66, 0, 0, 0),
+    ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(21, 0, 0, 0, 74, 0, 0, 0),
+    ::capnp::word(33, 0, 0, 0, 74, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(29, 0, 0, 0, 66, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(103, 114, 97, 110, 116, 101, 100, 0),
     ::capnp::word(114, 101, 112, 101, 97, 116, 101, 100),
@@ -4559,6 +4422,7 @@
     ::capnp::word(117, 110, 107, 110, 111, 119, 110, 0),
     ::capnp::word(110, 111, 116, 79, 119, 110, 101, 114),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(114, 101, 102, 117, 115, 101, 100, 0),
 ];
 pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
     ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
@@ -4656,7 +4520,7 @@
             self.reader.get_data_field::<u64>(4)
         }
         #[inline]
-        pub fn get_withdrawn(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u64>> {
+        pub fn get_withdrawn(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
         }
         #[inline]
@@ -4671,11 +4535,27 @@
         pub fn get_leaving(self) -> bool {
             self.reader.get_bool_field(384)
         }
+        #[inline]
+        pub fn get_entry(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_entry(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
+        #[inline]
+        pub fn get_roster(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_roster(&self) -> bool {
+            !self.reader.get_pointer_field(3).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 7, pointers: 2 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 7, pointers: 4 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4782,15 +4662,15 @@
             self.builder.set_data_field::<u64>(4, value);
         }
         #[inline]
-        pub fn get_withdrawn(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u64>> {
+        pub fn get_withdrawn(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_withdrawn(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u64>>) -> ::capnp::Result<()> {
+        pub fn set_withdrawn(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
         }
         #[inline]
-        pub fn init_withdrawn(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u64> {
+        pub fn init_withdrawn(self, size: u32) -> ::capnp::text_list::Builder<'a> {
             ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
         }
         #[inline]
@@ -4813,6 +4693,38 @@
         pub fn set_leaving(&mut self, value: bool)  {
             self.builder.set_bool_field(384, value);
         }
+        #[inline]
+        pub fn get_entry(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_entry(&mut self, value: ::capnp::data::Reader<'_>)  {
+            self.builder.reborrow().get_pointer_field(2).set_data(value);
+        }
+        #[inline]
+        pub fn init_entry(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(2).init_data(size)
+        }
+        #[inline]
+        pub fn has_entry(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
+        #[inline]
+        pub fn get_roster(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_roster(&mut self, value: ::capnp::data::Reader<'_>)  {
+            self.builder.reborrow().get_pointer_field(3).set_data(value);
+        }
+        #[inline]
+        pub fn init_roster(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(3).init_data(size)
+        }
+        #[inline]
+        pub fn has_roster(&self) -> bool {
+            !self.builder.is_pointer_field_null(3)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -4824,87 +4736,101 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 161] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 191] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(165, 169, 167, 25, 216, 141, 28, 151),
             ::capnp::word(11, 0, 0, 0, 1, 0, 7, 0),
             ::capnp::word(99, 42, 126, 75, 169, 240, 193, 213),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 111, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(110, 111, 100, 101, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 72, 101, 97, 114, 116),
             ::capnp::word(98, 101, 97, 116, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(41, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(49, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(253, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(53, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(61, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 1, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(69, 1, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(77, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(101, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 128, 1, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(105, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(10, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(104, 111, 115, 116, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4963,7 +4889,7 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4986,6 +4912,22 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 110, 116, 114, 121, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 111, 115, 116, 101, 114, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -4995,9 +4937,11 @@
                 3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                6 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
+                6 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
                 7 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 8 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                9 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                10 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -5011,9 +4955,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,4,7,2,0,1,8,3,6];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,4,7,9,2,0,1,8,10,3,6];
         pub(crate) const TYPE_ID: u64 = 0x971c_8dd8_19a7_a9a5;
     }
 }
