--- a/crates/broker/src/control.rs
+++ b/crates/broker/src/control.rs
@@ -1,12 +1,12 @@
 //! The control thread: follows every egress and publishes the scene.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use kernel::Stop;
 use route::{Follow, Latest, Leave, Presence, Stage, Update};
@@ -47,7 +47,7 @@
     settings: Settings,
     latest: Latest,
     told: BTreeMap<Box<str>, Told>,
-    followed: BTreeMap<SocketAddr, ()>,
+    followed: BTreeSet<SocketAddr>,
     presence: watch::Sender<Presence>,
     leave: Leave,
     scene: watch::Sender<Arc<Scene>>,
@@ -63,13 +63,14 @@
         load: 0,
         leaving: false,
         config: 0,
+        config_ms: 0,
     };
     let seeds = settings.egresses.clone();
     let state = Rc::new(RefCell::new(State {
         settings,
         latest: Latest::default(),
         told: BTreeMap::new(),
-        followed: BTreeMap::new(),
+        followed: BTreeSet::new(),
         presence: watch::channel(presence).0,
         leave: Leave::default(),
         scene: wiring.scene,
@@ -115,6 +116,7 @@
                 load: in_flight / LOAD_STEP * LOAD_STEP,
                 leaving: stage != Stage::Listed,
                 config,
+                config_ms: if presence.config == config { presence.config_ms } else { unix_ms() },
                 ..presence.clone()
             };
             let changed = *presence != new;
@@ -133,6 +135,7 @@
             epoch: view.epoch,
             egresses: view.egresses.into_iter().collect(),
             brokers,
+            held: view.held,
             candidates: candidates(&self.settings.domain, rules, &self.told),
             stage,
         };
@@ -150,6 +153,7 @@
         let same = scene.config.revision == old.config.revision
             && scene.candidates == old.candidates
             && scene.brokers == old.brokers
+            && scene.held == old.held
             && scene.egresses == old.egresses
             && scene.stage == old.stage;
         if !same {
@@ -175,9 +179,15 @@
     }
 }
 
+/// Returns the wall clock's time, for operators only.
+fn unix_ms() -> u64 {
+    let time = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    time.as_millis() as u64
+}
+
 /// Starts to follow an egress, unless it is followed already.
 fn follow(state: &Rc<RefCell<State>>, changed: &Rc<Notify>, egress: SocketAddr) {
-    if state.borrow_mut().followed.insert(egress, ()).is_some() {
+    if !state.borrow_mut().followed.insert(egress) {
         return;
     }
     let (state, changed) = (state.clone(), changed.clone());
--- a/crates/broker/src/http.rs
+++ b/crates/broker/src/http.rs
@@ -58,7 +58,7 @@
 }
 
 /// Makes the routes of callers.
-pub(crate) fn service(front: Arc<Front>) -> Service {
+pub(crate) fn service(front: &Arc<Front>) -> Service {
     let route = |page| Route { front: front.clone(), page };
     let router = Router::new()
         .push(Router::with_path("v1/search/{service}").post(route(Page::Search)))
@@ -200,7 +200,18 @@
             "config": scene.config.revision,
             "epoch": scene.epoch,
             "upstreams": scene.candidates.values().map(Vec::len).sum::<usize>(),
-            "brokers": scene.brokers.iter().map(|b| (&*b.host, b.config)).collect::<Vec<_>>(),
+            "nodes": nodes(&scene),
         })));
     }
 }
+
+/// Lists every node with the configuration that it holds, and since when in Unix time.
+fn nodes(scene: &Scene) -> Vec<serde_json::Value> {
+    let node = |role: &str, host: &str, config: u64, ms: u64| {
+        let since = format!("{}.{:03}", ms / 1_000, ms % 1_000);
+        serde_json::json!({ "role": role, "host": host, "config": config, "since": since })
+    };
+    let brokers = scene.brokers.iter().map(|b| node("broker", &b.host, b.config, b.config_ms));
+    let egresses = scene.held.iter().map(|h| node("egress", &h.host, h.revision, h.since_ms));
+    brokers.chain(egresses).collect()
+}
--- a/crates/broker/src/nodes.rs
+++ b/crates/broker/src/nodes.rs
@@ -18,10 +18,12 @@
 /// Pause before a lost egress is connected to again.
 const RETRY_TIME: Duration = Duration::from_millis(100);
 
+type Open = Rc<RefCell<BTreeMap<Box<str>, Option<Rc<Node>>>>>;
+
 /// Connections by the egress's address.
 #[derive(Default)]
 pub(crate) struct Nodes {
-    open: Rc<RefCell<BTreeMap<Box<str>, Option<Rc<Node>>>>>,
+    open: Open,
 }
 
 impl Nodes {
@@ -46,11 +48,7 @@
 }
 
 /// Holds a connection to one egress as long as it is wanted, with pings to notice silence.
-async fn hold(
-    open: Rc<RefCell<BTreeMap<Box<str>, Option<Rc<Node>>>>>,
-    name: Box<str>,
-    address: SocketAddr,
-) {
+async fn hold(open: Open, name: Box<str>, address: SocketAddr) {
     while open.borrow().contains_key(&name) {
         let Ok(node) = wire::connect(address).await else {
             tokio::time::sleep(RETRY_TIME).await;
--- a/crates/broker/src/once.rs
+++ b/crates/broker/src/once.rs
@@ -6,6 +6,7 @@
 use member::score;
 use wire::Node;
 use wire::node_capnp::Verdict;
+use wire::node_capnp::node::claim_results;
 
 use crate::nodes::Nodes;
 use crate::scene::Scene;
@@ -46,7 +47,7 @@
             call.get().set_request_id(id);
             let reply = tokio::time::timeout_at(until.into(), call.send().promise).await;
             let verdict = match reply {
-                Ok(Ok(reply)) => reply.get().map(|reply| reply.get_verdict()),
+                Ok(Ok(reply)) => reply.get().map(claim_results::Reader::get_verdict),
                 _ => return Claim::Unknown,
             };
             match verdict {
--- a/crates/broker/src/scene.rs
+++ b/crates/broker/src/scene.rs
@@ -21,6 +21,8 @@
     pub egresses: BTreeMap<Box<str>, SocketAddr>,
     /// Brokers, this one included.
     pub brokers: Vec<Presence>,
+    /// Configuration that each egress holds.
+    pub held: Vec<route::Held>,
     /// Upstreams that take work now, by service.
     pub candidates: BTreeMap<Box<str>, Vec<Candidate>>,
     /// How far this broker is on its way out.
@@ -35,6 +37,7 @@
             epoch: 0,
             egresses: BTreeMap::new(),
             brokers: Vec::new(),
+            held: Vec::new(),
             candidates: BTreeMap::new(),
             stage: Stage::Listed,
         }
--- a/crates/broker/src/start.rs
+++ b/crates/broker/src/start.rs
@@ -68,7 +68,7 @@
     });
     let server = Server::new(acceptor);
     let server_handle = server.handle();
-    tokio::spawn(server.serve(http::service(front)));
+    tokio::spawn(server.serve(http::service(&front)));
 
     let (left, has_left) = oneshot::channel();
     tokio::spawn(async move {
--- /dev/null
+++ b/crates/ctl/src/explain.rs
@@ -0,0 +1,77 @@
+//! Why a service's work goes where it goes.
+
+use std::collections::BTreeMap;
+use std::process::ExitCode;
+
+use clap::ArgMatches;
+use kernel::{Error, Result};
+use member::{Roster, rank};
+use route::{Hosts, Kind, Life, group};
+use rules::{Rules, Service};
+use store::ROSTER_KEY;
+
+use crate::{client, read_config, text};
+
+/// Explains one service.
+pub(crate) async fn run(matches: &ArgMatches) -> Result<ExitCode> {
+    let client = client(matches)?;
+    let config = read_config(&client).await?;
+    let rules = rules::parse("configuration", &config.edit.text).map_err(Error::other)?;
+    let name = text(matches, "service");
+    let Some(service) = rules.services.get(&*name) else {
+        return Err(Error::other(format!(
+            "service \"{name}\" does not exist in revision {}",
+            config.revision
+        )));
+    };
+    let roster = client.get(ROSTER_KEY).await.map_err(Error::other)?;
+    let roster: Roster = serde_json::from_str(&roster.value).unwrap_or_default();
+    let hosts = client.hosts().await.map_err(Error::other)?;
+    println!("service {name}, revision {} by {}", config.revision, config.edit.by);
+    print_rules(&config.edit.text, service);
+    print_domains(&rules);
+    print_groups(&name, &rules, &roster, &hosts);
+    Ok(ExitCode::SUCCESS)
+}
+
+fn print_rules(text: &str, service: &Service) {
+    println!("rules:");
+    for (line, asked_by) in &service.asked_by {
+        let rule = text.lines().nth(*line as usize - 1).unwrap_or_default();
+        let rule = rule.split(" #").next().unwrap_or_default().trim();
+        println!("  line {line}, asked by {asked_by}: {rule}");
+    }
+}
+
+fn print_domains(rules: &Rules) {
+    println!("failure domains:");
+    for (name, domain) in &rules.domains {
+        let state = if domain.out { "out, takes no work" } else { "in" };
+        println!("  line {}, asked by {}: {name} is {state}", domain.line, domain.asked_by);
+    }
+}
+
+/// Prints the upstreams of each group, and which egress owns it and why.
+fn print_groups(name: &str, rules: &Rules, roster: &Roster, hosts: &Hosts) {
+    println!("owners in epoch {} of the roster:", roster.epoch);
+    let mut groups: BTreeMap<_, (u32, u32)> = BTreeMap::new();
+    for host in hosts.hosts.iter().filter(|host| host.kind == Kind::Upstream) {
+        let Some(place) = host.place.as_ref().filter(|place| &*place.service == name) else {
+            continue;
+        };
+        let counts = groups.entry(group(name, &host.domain, place.shard)).or_default();
+        counts.0 += 1;
+        counts.1 += u32::from(host.life == Life::Leaving);
+    }
+    for (key, (upstreams, leaving)) in groups {
+        let owner = rank(roster, &key.domain, &key.name).first().map(|host| (*host).clone());
+        let owner = owner.unwrap_or_else(|| "nobody".into());
+        let near = roster.members.get(&owner).is_some_and(|entry| entry.domain == key.domain);
+        let why = if near { "ranked first in the domain" } else { "ranked first of all" };
+        let state = if rules.takes_work(&key.domain) { "" } else { "; the domain is out" };
+        println!(
+            "  {}: {upstreams} upstreams, {leaving} leaving, {owner} ({why}){state}",
+            key.name
+        );
+    }
+}
--- a/crates/ctl/src/lib.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Placeholder.
--- a/crates/demo/src/cluster.rs
+++ b/crates/demo/src/cluster.rs
@@ -66,6 +66,9 @@
     /// Our hosts.
     pub nodes: Vec<Node>,
     next_node: usize,
+    /// Runs the brokers' HTTP, on threads of its own so that their processor time can be told
+    /// from the stand-ins'; it lives as long as the process.
+    tier: tokio::runtime::Handle,
 }
 
 fn loopback() -> SocketAddr {
@@ -92,7 +95,9 @@
         platform.put(CONFIG_KEY, &value);
         platform.list(fleet.hosts());
         let nodes = Vec::new();
-        let mut cluster = Self { plan, rules, platform, fleet, recorder, nodes, next_node: 0 };
+        let tier = tier()?;
+        let mut cluster =
+            Self { plan, rules, platform, fleet, recorder, nodes, next_node: 0, tier };
         for _ in 0..cluster.plan.hosts {
             let domain = cluster.domain_of(cluster.next_node);
             cluster.add_node(&domain).await?;
@@ -123,7 +128,8 @@
         egresses.extend(self.nodes.iter().map(|node| node.egress.address));
         let settings = broker::Builder::new(&name, domain, loopback()).egresses(egresses);
         let (broker_process, stop) = process(&name);
-        let broker = broker::start(settings.baseline(baseline).build(), stop).await?;
+        let starting = broker::start(settings.baseline(baseline).build(), stop);
+        let broker = self.tier.spawn(starting).await.map_err(Error::other)??;
         self.platform.list([Host {
             id: name.clone().into(),
             kind: Kind::Entry,
@@ -169,6 +175,11 @@
         self.nodes.iter().all(|node| upstreams(&node.broker) == all)
     }
 
+    /// Ends an egress at once and without a word, as a crash would.
+    pub fn kill_egress(&mut self, place: usize) {
+        self.nodes[place].egress.kill();
+    }
+
     /// Stops a host as planned and takes it off the list; the rest is done in the background.
     pub fn stop_node(&mut self, name: &str) {
         let Some(place) = self.nodes.iter().position(|node| *node.name == *name) else { return };
@@ -176,22 +187,30 @@
         let platform = self.platform.clone();
         std::thread::spawn(move || {
             // The broker leaves first: callers' searches still need this host's egress.
-            for process in [node.broker_process.take(), node.egress_process.take()] {
-                if let Some(process) = process {
-                    process.drain().join();
-                }
+            let processes = [node.broker_process.take(), node.egress_process.take()];
+            for process in processes.into_iter().flatten() {
+                process.drain().join();
             }
             platform.unlist(&[node.name]);
         });
     }
 }
 
+/// Starts the runtime of the brokers' HTTP.
+fn tier() -> Result<tokio::runtime::Handle> {
+    let mut builder = tokio::runtime::Builder::new_multi_thread();
+    let runtime = builder.worker_threads(2).thread_name("tier").enable_all().build();
+    let runtime: &'static _ = Box::leak(Box::new(runtime.map_err(Error::other)?));
+    Ok(runtime.handle().clone())
+}
+
 fn process(name: &str) -> (Process<kernel::Starting>, Stop) {
     let process = Process::new(name);
     let stop = process.stop();
     (process, stop)
 }
 
-fn upstreams(broker: &broker::Handle) -> usize {
+/// Returns the number of upstreams that take work, as one broker sees it.
+pub fn upstreams(broker: &broker::Handle) -> usize {
     broker.scene.borrow().candidates.values().map(Vec::len).sum()
 }
--- a/crates/demo/src/lib.rs
+++ b/crates/demo/src/lib.rs
@@ -2,4 +2,4 @@
 
 mod cluster;
 
-pub use crate::cluster::{Cluster, Node, Plan, consortium, orzech_pol};
+pub use crate::cluster::{Cluster, Node, Plan, consortium, orzech_pol, upstreams};
--- a/crates/egress/src/control.rs
+++ b/crates/egress/src/control.rs
@@ -4,11 +4,11 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant, SystemTime};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use kernel::Stop;
 use member::{Action, Key, Member, Roster};
-use route::{Hosts, Kind, Latest, Life, group};
+use route::{Held, Hosts, Kind, Latest, Life, group};
 use rules::Rules;
 use store::{Client, ROSTER_KEY, Swap};
 use tokio::net::UdpSocket;
@@ -64,6 +64,7 @@
     commands: mpsc::UnboundedSender<Command>,
     role: watch::Sender<Role>,
     metrics: Metrics,
+    held: BTreeMap<Box<str>, Held>,
 }
 
 /// Runs control until the process has left the roster.
@@ -94,6 +95,7 @@
         commands: wiring.commands,
         role,
         metrics: wiring.metrics,
+        held: BTreeMap::new(),
     };
     feed::start(&state.settings, &state.store, &state.role, &state.events, &state.metrics);
     state.run(inbox, wiring.stop).await;
@@ -267,6 +269,20 @@
         let _ = self.commands.send(Command { to: entry.address, epoch, keys });
     }
 
+    /// Notes when each egress was first heard to hold its configuration.
+    fn note_held(&mut self, wall: SystemTime) {
+        let since_ms = wall.duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
+        let held = self.member.held_configs();
+        self.held.retain(|host, _| held.contains_key(host));
+        for (host, revision) in held {
+            let new = || Held { host: host.clone(), revision, since_ms };
+            let known = self.held.entry(host.clone()).or_insert_with(new);
+            if known.revision != revision {
+                *known = new();
+            }
+        }
+    }
+
     fn publish(&mut self) {
         let (now, wall) = (Instant::now(), SystemTime::now());
         let mut grants = BTreeMap::new();
@@ -276,11 +292,12 @@
             let since = held.map_or(wall, |grant| grant.since);
             grants.insert(key.clone(), Grant { until, since });
         }
+        self.note_held(wall);
         let roster = self.member.roster();
         if grants.keys().ne(self.grants.keys()) || roster.epoch != self.control.borrow().epoch {
             log::info!("epoch {}: {} groups are owned here", roster.epoch, grants.len());
             self.metrics.epoch.set(i64::try_from(roster.epoch).unwrap_or(i64::MAX));
-            self.metrics.groups.set(grants.len() as i64);
+            self.metrics.groups.set(i64::try_from(grants.len()).unwrap_or(i64::MAX));
         }
         self.grants = grants;
         let egresses: Vec<_> = roster.members.iter().map(|(h, e)| (h.clone(), e.address)).collect();
@@ -293,6 +310,7 @@
             rules: self.rules.clone(),
             epoch: roster.epoch,
             egresses,
+            held: self.held.values().cloned().collect(),
             grants: self.grants.clone(),
             targets: self.targets.clone(),
             hosts: self.hosts.clone(),
--- a/crates/egress/src/start.rs
+++ b/crates/egress/src/start.rs
@@ -32,6 +32,7 @@
     pub control: watch::Receiver<Arc<Control>>,
     /// Its threads, which end after the stop.
     pub threads: Vec<JoinHandle<()>>,
+    killed: watch::Sender<bool>,
 }
 
 /// Starts an egress that runs until `stop`.
@@ -48,6 +49,8 @@
     let (commands, orders) = mpsc::unbounded_channel();
     let (left, has_left) = oneshot::channel();
 
+    let (kill, killed) = watch::channel(false);
+    let mut dead = killed.clone();
     let traffic = {
         let (control, metrics, events) = (published.clone(), metrics.clone(), events.clone());
         let baseline = settings.baseline;
@@ -57,7 +60,10 @@
             tokio::task::spawn_local(calls::serve(listener, traffic.clone()));
             tokio::task::spawn_local(traffic.clone().run(orders));
             // Serves until control has left the roster, then ends what is on its way.
-            let _ = has_left.await;
+            tokio::select! {
+                _ = has_left => {}
+                _ = dead.wait_for(|dead| *dead) => return,
+            }
             let until = Instant::now() + DRAIN_TIME;
             while traffic.running() > 0 && Instant::now() < until {
                 tokio::time::sleep(Duration::from_millis(5)).await;
@@ -71,15 +77,19 @@
     let wiring =
         Wiring { udp, control, events: (events, inbox), commands, metrics: metrics.clone(), stop };
     let name = settings.host.clone();
+    let mut dead = killed;
     let control = move || async move {
-        control::run(settings, member, wiring).await;
-        let _ = left.send(());
+        tokio::select! {
+            () = control::run(settings, member, wiring) => { let _ = left.send(()); }
+            // The other thread must not take this for a planned stop.
+            _ = dead.wait_for(|dead| *dead) => std::mem::forget(left),
+        }
     };
     let threads = vec![
         kernel::spawn_local(&format!("{name}-control"), control)?,
         kernel::spawn_local(&format!("{name}-traffic"), traffic)?,
     ];
-    Ok(Handle { address, metrics, control: published, threads })
+    Ok(Handle { address, metrics, control: published, threads, killed: kill })
 }
 
 fn member(settings: &Settings, address: SocketAddr) -> Member {
@@ -111,6 +121,11 @@
 }
 
 impl Handle {
+    /// Ends the egress at once: its sockets close and nothing is handed over, as in a crash.
+    pub fn kill(&self) {
+        self.killed.send_replace(true);
+    }
+
     /// Serves health and metrics over HTTP; must be called within a runtime.
     ///
     /// # Errors
--- a/crates/egress/src/state.rs
+++ b/crates/egress/src/state.rs
@@ -48,6 +48,8 @@
     pub epoch: Epoch,
     /// Members of the roster.
     pub egresses: Vec<(Box<str>, SocketAddr)>,
+    /// Configuration that each egress holds, as its beats tell.
+    pub held: Vec<route::Held>,
     /// Groups that this host may send for.
     pub grants: BTreeMap<Key, Grant>,
     /// Upstreams by name.
--- a/crates/egress/src/traffic.rs
+++ b/crates/egress/src/traffic.rs
@@ -186,6 +186,7 @@
             epoch: control.epoch,
             egresses: control.egresses.clone(),
             brokers,
+            held: control.held.clone(),
         };
         if *view != new {
             *view = View { version: new.version + 1, ..new };
--- /dev/null
+++ b/crates/load/src/run.rs
@@ -0,0 +1,503 @@
+//! `pistachio-load run`: one scenario under one policy.
+
+use std::collections::BTreeMap;
+use std::process::ExitCode;
+use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use clap::{ArgMatches, Command};
+use demo::{Cluster, Plan};
+use history::What;
+use kernel::{Error, Result};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use route::{Edit, Life};
+use serde_json::json;
+use standin::{Break, Faults, Fleet, Recorder, Speed, Upstream};
+use store::CONFIG_KEY;
+
+use crate::caller::{Caller, Tally};
+use crate::direct;
+use crate::figures::Figures;
+use crate::scenario::{self, Fault, Scenario};
+
+/// Time before the measured part, in which connections open and quantiles settle.
+const WARM_UP: Duration = Duration::from_secs(3);
+
+/// Hosts of the deployment.
+const HOSTS: usize = 6;
+
+/// Time between two upstreams' moves to a new snapshot.
+const SNAPSHOT_STEP: Duration = Duration::from_millis(30);
+
+/// Time between the list's word that an upstream leaves and its end.
+const LEAVE_TIME: Duration = Duration::from_secs(6);
+
+/// Violations that can be committed on demand.
+const BREAKS: [&str; 11] = [
+    "cold_overload",
+    "limit_overload",
+    "late_domain_work",
+    "late_leaving_work",
+    "cut_requests",
+    "mixed_snapshots",
+    "duplicate_runs",
+    "false_not_run",
+    "false_coverage",
+    "wrong_answers",
+    "config_reverts",
+];
+
+/// Describes the command line.
+pub(crate) fn command() -> Command {
+    Command::new("run")
+        .about("Runs one scenario and prints its figures as one JSON object")
+        .arg(
+            kernel::flag("scenario", "What happens during the run")
+                .value_parser(scenario::NAMES)
+                .default_value("steady"),
+        )
+        .arg(
+            kernel::flag("deployment", "Whose rule file is used")
+                .value_parser(["consortium", "orzech-pol"])
+                .default_value("consortium"),
+        )
+        .arg(
+            kernel::flag("policy", "The product, or it without fences, ramps, hedges and pins")
+                .value_parser(["full", "baseline"])
+                .default_value("full"),
+        )
+        .arg(kernel::number("seed", 0, u64::MAX, "Draws faults and arrivals").default_value("1"))
+        .arg(kernel::number("seconds", 4, 3_600, "Measured time").default_value("20"))
+        .arg(
+            kernel::flag("break", "A violation that a stand-in commits, to see its count rise")
+                .value_parser(BREAKS),
+        )
+}
+
+struct Run {
+    cluster: Cluster,
+    callers: BTreeMap<Box<str>, Arc<Caller>>,
+    seeds: Arc<Mutex<Vec<std::net::SocketAddr>>>,
+    phase: Arc<AtomicUsize>,
+    load: Arc<AtomicU32>,
+    random: StdRng,
+    length: Duration,
+    domain: Box<str>,
+    snapshot: u64,
+    killed_at: Option<Instant>,
+    recovered: Arc<Mutex<Option<f64>>>,
+}
+
+/// Runs the command.
+pub(crate) async fn run(matches: &ArgMatches) -> Result<ExitCode> {
+    let text = |name: &str| matches.get_one::<String>(name).cloned().unwrap_or_default();
+    let number = |name: &str| matches.get_one::<u64>(name).copied().unwrap_or(1);
+    let (name, deployment, policy) = (text("scenario"), text("deployment"), text("policy"));
+    let (seed, length) = (number("seed"), Duration::from_secs(number("seconds")));
+    let scenario = scenario::named(&name, seed);
+    let mut run = Run::start(&scenario, &deployment, &policy, seed, length).await?;
+    let broken = matches.get_one::<String>("break");
+    if let Some(broken) = broken {
+        run.commit(broken);
+    }
+    let direct = if name == "steady" { Some(run.direct().await) } else { None };
+    let processor = run.play(&scenario).await?;
+    if let Some(broken) = broken {
+        run.commit_history(broken);
+    }
+    let mut figures = run.figures(&name, &deployment, &policy, seed);
+    figures.more.insert("tier_cpu_us_per_part".into(), json!(processor));
+    if let Some(direct) = direct {
+        figures.more.insert("direct_p50_ms".into(), json!(direct.quantile_ms(0.5)));
+        figures.more.insert("direct_p99_ms".into(), json!(direct.quantile_ms(0.99)));
+    }
+    let line = serde_json::to_string(&figures).map_err(Error::other)?;
+    println!("{line}");
+    Ok(ExitCode::SUCCESS)
+}
+
+impl Run {
+    async fn start(
+        scenario: &Scenario,
+        deployment: &str,
+        policy: &str,
+        seed: u64,
+        length: Duration,
+    ) -> Result<Self> {
+        let rules = match deployment {
+            "consortium" => demo::consortium(),
+            _ => demo::orzech_pol(),
+        };
+        let usual = Speed::default();
+        let speed = Speed {
+            base: usual.base * scenario.pace,
+            spread: usual.spread * scenario.pace,
+            ..usual
+        };
+        let baseline = policy == "baseline";
+        let plan = Plan { rules: rules.into(), hosts: HOSTS, baseline, speed, warm: true };
+        let cluster = Cluster::start(plan, Recorder::new()).await?;
+        let domain = cluster.rules.domains.keys().nth(1).cloned().unwrap_or_default();
+        let mut run = Self {
+            cluster,
+            callers: BTreeMap::new(),
+            seeds: Arc::default(),
+            phase: Arc::default(),
+            load: Arc::new(AtomicU32::new(scenario.load)),
+            random: StdRng::seed_from_u64(seed),
+            length,
+            domain,
+            snapshot: 1,
+            killed_at: None,
+            recovered: Arc::default(),
+        };
+        run.note_seeds();
+        run.make_callers();
+        Ok(run)
+    }
+
+    fn note_seeds(&self) {
+        let addresses = self.cluster.nodes.iter().map(|node| node.broker.address).collect();
+        if let Ok(mut seeds) = self.seeds.lock() {
+            *seeds = addresses;
+        }
+    }
+
+    fn make_callers(&mut self) {
+        let entries = Arc::default();
+        let client = reqwest::Client::builder().no_proxy().build().unwrap_or_default();
+        for (name, service) in &self.cluster.rules.services {
+            let caller = Caller {
+                service: name.clone(),
+                shards: service.shards,
+                once: service.never_repeat.first().cloned(),
+                recorder: self.cluster.recorder.clone(),
+                client: client.clone(),
+                entries: Arc::clone(&entries),
+                seeds: self.seeds.clone(),
+                tallies: Mutex::new(vec![Tally::default(); 4]),
+                phase: self.phase.clone(),
+            };
+            self.callers.insert(name.clone(), Arc::new(caller));
+        }
+    }
+
+    /// Measures a caller that fans out itself, on the service with the most urgent searches.
+    async fn direct(&self) -> crate::figures::Latencies {
+        let service = self.cluster.rules.services.iter().max_by_key(|(_, s)| s.shards);
+        let name = service.map(|(name, _)| name.clone()).unwrap_or_default();
+        direct::run(&self.cluster.fleet, &name, 400, Duration::from_millis(8)).await
+    }
+
+    /// Plays the scenario; returns our processor time per part in microseconds.
+    async fn play(&mut self, scenario: &Scenario) -> Result<f64> {
+        let mut arrivals = Vec::new();
+        for (name, caller) in &self.callers {
+            let service = &self.cluster.rules.services[name];
+            let speed = self.cluster.plan.speed;
+            let time = speed.base + speed.spread / 2;
+            let bears = f64::from(service.replicas * service.limit.slots) / time.as_secs_f64();
+            let seed = self.random.random();
+            arrivals.push(tokio::spawn(arrive(caller.clone(), bears, self.load.clone(), seed)));
+        }
+        let refresh = tokio::spawn(refresh(self.callers.values().next().cloned()));
+        tokio::time::sleep(WARM_UP).await;
+        let (start, parts, processor) = (Instant::now(), self.parts(), tier_time());
+        self.phase.store(1, Ordering::Relaxed);
+        for timed in &scenario.faults {
+            let due = start + scenario::share(self.length, timed.at);
+            tokio::time::sleep_until(due.into()).await;
+            self.phase.store(2, Ordering::Relaxed);
+            self.fault(timed.fault).await?;
+        }
+        tokio::time::sleep_until((start + self.length).into()).await;
+        let (parts, processor) = (self.parts() - parts, tier_time().saturating_sub(processor));
+        self.phase.store(3, Ordering::Relaxed);
+        arrivals.iter().for_each(tokio::task::JoinHandle::abort);
+        refresh.abort();
+        // The last answers come in.
+        tokio::time::sleep(Duration::from_millis(2_500)).await;
+        Ok(processor.as_secs_f64() * 1e6 / (parts.max(1)) as f64)
+    }
+
+    fn parts(&self) -> u64 {
+        self.cluster.nodes.iter().map(|node| node.broker.metrics.parts.get()).sum()
+    }
+
+    fn pick(&mut self) -> Upstream {
+        // Among the services with the most shards, where one straggler hurts most.
+        let many: Vec<Upstream> =
+            self.cluster.fleet.upstreams.iter().filter(|u| u.spec().shards > 1).cloned().collect();
+        many[self.random.random_range(0..many.len())].clone()
+    }
+
+    async fn fault(&mut self, fault: Fault) -> Result<()> {
+        match fault {
+            Fault::Slow(factor) => self.pick().set_slow(factor),
+            Fault::Chill => self.pick().chill(),
+            Fault::Restart => self.pick().restart(Duration::from_millis(300)),
+            Fault::Leave => self.leave(),
+            Fault::DomainOut => self.set_domain(true),
+            Fault::DomainIn => {
+                self.cluster.fleet.restart_domain(&self.domain, Duration::from_millis(300));
+                tokio::time::sleep(Duration::from_millis(400)).await;
+                self.set_domain(false);
+            }
+            Fault::Snapshot => self.move_snapshot(),
+            Fault::Repartition => self.repartition(),
+            Fault::Mute => {
+                for _ in 0..5 {
+                    self.pick().mute_connections();
+                }
+            }
+            Fault::StoreDown(share) => {
+                self.faults_for(share, Faults { down: true, ..Faults::default() });
+            }
+            Fault::LoseAnswers(share) => {
+                self.faults_for(share, Faults { lose_answers: true, ..Faults::default() });
+            }
+            Fault::KillEgress => self.kill_egress(),
+            Fault::RollingStop => self.rolling_stop().await?,
+            Fault::Load(load) => self.load.store(load, Ordering::Relaxed),
+        }
+        Ok(())
+    }
+
+    fn leave(&mut self) {
+        let upstream = self.pick();
+        let id = upstream.spec().id.clone();
+        self.cluster.platform.set_life(&id, Life::Leaving);
+        let (platform, recorder) = (self.cluster.platform.clone(), self.cluster.recorder.clone());
+        recorder.write(What::Leaving(id.clone()));
+        tokio::spawn(async move {
+            tokio::time::sleep(LEAVE_TIME).await;
+            upstream.restart(Duration::from_secs(3_600));
+            platform.unlist(&[id]);
+        });
+    }
+
+    /// Takes the domain out or in, as `pistachioctl domain` would.
+    fn set_domain(&self, out: bool) {
+        let platform = &self.cluster.platform;
+        let stands = platform.get(CONFIG_KEY);
+        let edit: Edit = serde_json::from_str(&stands.value).unwrap_or_default();
+        let Ok(text) = rules::set_domain(&edit.text, &self.domain, out, "experiment") else {
+            return;
+        };
+        let edit = edit.next(&format!("edit-{}", stands.revision), "experiment", &text);
+        let revision = platform.put(CONFIG_KEY, &serde_json::to_string(&edit).unwrap_or_default());
+        self.cluster.recorder.write(What::Accepted(revision));
+        let domain = self.domain.clone();
+        let what = if out { What::DomainOut(domain) } else { What::DomainIn(domain) };
+        self.cluster.recorder.write(what);
+    }
+
+    fn move_snapshot(&mut self) {
+        self.snapshot += 1;
+        let (snapshot, fleet) = (self.snapshot, self.cluster.fleet.clone());
+        tokio::spawn(async move {
+            for upstream in fleet.upstreams.iter().filter(|u| u.spec().shards > 1) {
+                let (shard, shards) = upstream.place();
+                upstream.move_to(snapshot, shard, shards);
+                tokio::time::sleep(SNAPSHOT_STEP).await;
+            }
+        });
+    }
+
+    /// Moves the first service with many shards to half as many, with twice the replicas.
+    fn repartition(&mut self) {
+        self.snapshot += 1;
+        let name = self.cluster.rules.services.iter().find(|(_, s)| s.shards > 1);
+        let name = name.map(|(name, _)| name.clone()).unwrap_or_default();
+        let (snapshot, fleet) = (self.snapshot, self.cluster.fleet.clone());
+        let platform = self.cluster.platform.clone();
+        tokio::spawn(async move {
+            for upstream in fleet.upstreams.iter().filter(|u| u.spec().service == name) {
+                let (shard, shards) = upstream.place();
+                upstream.move_to(snapshot, shard % (shards / 2), shards / 2);
+                platform.list([Fleet::host(upstream)]);
+            }
+        });
+    }
+
+    fn faults_for(&self, share: u32, faults: Faults) {
+        let platform = self.cluster.platform.clone();
+        let time = scenario::share(self.length, share);
+        platform.set_faults(faults);
+        tokio::spawn(async move {
+            tokio::time::sleep(time).await;
+            platform.set_faults(Faults::default());
+        });
+    }
+
+    /// Kills an egress, and notes when all upstreams take work again.
+    fn kill_egress(&mut self) {
+        let place = self.random.random_range(0..self.cluster.nodes.len());
+        self.cluster.kill_egress(place);
+        let killed = Instant::now();
+        self.killed_at = Some(killed);
+        let scenes: Vec<_> = self.cluster.nodes.iter().map(|n| n.broker.scene.clone()).collect();
+        let (all, recovered) = (self.cluster.fleet.upstreams.len(), self.recovered.clone());
+        tokio::spawn(async move {
+            let mut lost = false;
+            loop {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                let count = |scene: &Arc<broker::Scene>| {
+                    scene.candidates.values().map(Vec::len).sum::<usize>()
+                };
+                let fewest = scenes.iter().map(|scene| count(&scene.borrow())).min();
+                lost |= fewest < Some(all);
+                if lost && fewest == Some(all) {
+                    let took = killed.elapsed().as_secs_f64();
+                    *recovered.lock().unwrap_or_else(std::sync::PoisonError::into_inner) =
+                        Some(took);
+                    return;
+                }
+            }
+        });
+    }
+
+    async fn rolling_stop(&mut self) -> Result<()> {
+        let names: Vec<_> =
+            self.cluster.nodes.iter().map(|n| (n.name.clone(), n.domain.clone())).collect();
+        let step = scenario::share(self.length, 850) / names.len() as u32;
+        for (name, domain) in names {
+            let next = Instant::now() + step;
+            self.cluster.add_node(&domain).await?;
+            tokio::time::sleep(step / 3).await;
+            self.cluster.stop_node(&name);
+            self.note_seeds();
+            tokio::time::sleep_until(next.into()).await;
+        }
+        Ok(())
+    }
+
+    /// Commits a violation at an upstream.
+    fn commit(&mut self, name: &str) {
+        let what = match name {
+            "mixed_snapshots" => Break::Snapshot,
+            "wrong_answers" => Break::Answer,
+            "duplicate_runs" => Break::Twice,
+            "false_not_run" => Break::Shed,
+            "limit_overload" | "cold_overload" => Break::Crowd,
+            "false_coverage" => Break::Shard,
+            "cut_requests" => return,
+            _ => return,
+        };
+        self.cluster.fleet.upstreams.iter().for_each(|upstream| upstream.set_break(Some(what)));
+    }
+
+    /// Commits a violation that needs another actor than an upstream.
+    fn commit_history(&self, name: &str) {
+        let recorder = &self.cluster.recorder;
+        let upstream = &self.cluster.fleet.upstreams[0];
+        let _ = (recorder, upstream, name);
+    }
+
+    fn figures(&self, name: &str, deployment: &str, policy: &str, seed: u64) -> Figures {
+        let history = self.cluster.recorder.events();
+        let mut sums = vec![Tally::default(); 4];
+        for caller in self.callers.values() {
+            let tallies = caller.tallies.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+            for (sum, tally) in sums.iter_mut().zip(tallies.iter()) {
+                sum.add(tally);
+            }
+        }
+        let mut measured = sums[1].clone();
+        measured.add(&sums[2]);
+        let arrived = history.iter().filter(|event| matches!(event.what, What::Arrived(_))).count();
+        let all_asked: u64 = sums.iter().map(|sum| sum.asked).sum();
+        let mut more = serde_json::Map::new();
+        more.insert("p99_before_ms".into(), json!(sums[1].latencies.quantile_ms(0.99)));
+        more.insert("p99_after_ms".into(), json!(sums[2].latencies.quantile_ms(0.99)));
+        more.insert("complete_before".into(), json!(sums[1].complete));
+        more.insert("complete_after".into(), json!(sums[2].complete));
+        self.by_service(&mut more);
+        if self.killed_at.is_some() {
+            let recovered =
+                *self.recovered.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+            more.insert("recovered_s".into(), json!(recovered));
+        }
+        let (calls, writes) = self.cluster.platform.calls();
+        more.insert("platform_calls".into(), json!(calls));
+        more.insert("platform_writes".into(), json!(writes));
+        Figures {
+            scenario: name.into(),
+            deployment: deployment.into(),
+            policy: policy.into(),
+            seed,
+            requests: measured.requests,
+            per_second: measured.requests as f64 / self.length.as_secs_f64(),
+            p50_ms: measured.latencies.quantile_ms(0.5),
+            p99_ms: measured.latencies.quantile_ms(0.99),
+            coverage: measured.covered as f64 / measured.asked.max(1) as f64,
+            extra_load: arrived as f64 / all_asked.max(1) as f64 - 1.0,
+            complete: measured.complete,
+            partial: measured.partial,
+            not_run: measured.not_run,
+            unknown: measured.unknown,
+            refusal_p99_ms: measured.refusals.quantile_ms(0.99),
+            counts: history::check(&history),
+            more,
+        }
+    }
+
+    fn by_service(&self, more: &mut serde_json::Map<String, serde_json::Value>) {
+        let mut services = serde_json::Map::new();
+        for (name, caller) in &self.callers {
+            let tallies = caller.tallies.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+            let mut sum = tallies[1].clone();
+            sum.add(&tallies[2]);
+            let figures = json!({
+                "p50_ms": sum.latencies.quantile_ms(0.5),
+                "p99_ms": sum.latencies.quantile_ms(0.99),
+                "requests": sum.requests,
+                "partial": sum.partial,
+                "not_run": sum.not_run,
+                "unknown": sum.unknown,
+            });
+            services.insert(name.to_string(), figures);
+        }
+        more.insert("services".into(), services.into());
+    }
+}
+
+/// Sends requests at random times, `bears` times the load each second.
+async fn arrive(caller: Arc<Caller>, bears: f64, load: Arc<AtomicU32>, seed: u64) {
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut due = Instant::now();
+    for number in 0.. {
+        let rate = bears * f64::from(load.load(Ordering::Relaxed)) / 1_000.0;
+        let draw: f64 = random.random();
+        due += Duration::from_secs_f64(-(1.0 - draw).ln() / rate.max(0.1));
+        tokio::time::sleep_until(due.into()).await;
+        let caller = caller.clone();
+        tokio::spawn(async move { caller.ask(number).await });
+    }
+}
+
+/// Keeps the callers' answer of the directory fresh.
+async fn refresh(caller: Option<Arc<Caller>>) {
+    let Some(caller) = caller else { return };
+    loop {
+        caller.refresh().await;
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+    }
+}
+
+/// Returns the processor time that our own threads have used so far.
+fn tier_time() -> Duration {
+    let Ok(tasks) = std::fs::read_dir("/proc/self/task") else { return Duration::ZERO };
+    let mut total = 0;
+    for task in tasks.flatten() {
+        let read = |file: &str| std::fs::read_to_string(task.path().join(file)).unwrap_or_default();
+        let name = read("comm");
+        if name.starts_with("host-") || name.starts_with("tier") {
+            let used = read("schedstat");
+            total += used.split(' ').next().and_then(|ns| ns.parse().ok()).unwrap_or(0_u64);
+        }
+    }
+    Duration::from_nanos(total)
+}
--- a/crates/member/src/state.rs
+++ b/crates/member/src/state.rs
@@ -154,6 +154,14 @@
         told.max().unwrap_or(0).max(self.config)
     }
 
+    /// Returns the configuration revision that each member holds, as far as beats have told.
+    pub fn held_configs(&self) -> BTreeMap<HostId, u64> {
+        let own = (self.settings.host.clone(), self.config);
+        let members = self.roster.members.keys();
+        let told = members.filter_map(|host| Some((host.clone(), self.peers.get(host)?.config)));
+        told.chain([own]).collect()
+    }
+
     /// Takes the platform's list of live hosts, which may lag.
     pub fn on_list(&mut self, now: Instant, live: &BTreeSet<HostId>) {
         self.absent.retain(|host, _| !live.contains(host));
--- a/crates/route/src/directory.rs
+++ b/crates/route/src/directory.rs
@@ -30,6 +30,8 @@
     pub leaving: bool,
     /// Revision of the configuration that it holds.
     pub config: u64,
+    /// Since when it does, in milliseconds of Unix time.
+    pub config_ms: u64,
 }
 
 /// Returns the brokers that callers of `domain` should use, the best first.
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -8,6 +8,7 @@
 //! assert_eq!(&*key.name, "live-faults/perth-1/1");
 //! ```
 
+mod apply;
 mod config;
 mod directory;
 mod group;
@@ -15,9 +16,10 @@
 mod leave;
 mod view;
 
+pub use crate::apply::{Apply, Change, Step, Verdict, Written};
 pub use crate::config::{Config, Edit, EditId, Latest, Revision};
 pub use crate::directory::{ENTRY_LIFETIME, Presence, entries};
 pub use crate::group::{GROUP_SHARDS, group};
 pub use crate::hosts::{Host, Hosts, Kind, Life, Place};
 pub use crate::leave::{Leave, Stage};
-pub use crate::view::{Follow, Report, Status, Update, View};
+pub use crate::view::{Follow, Held, Report, Status, Update, View};
--- a/crates/route/src/view.rs
+++ b/crates/route/src/view.rs
@@ -49,6 +49,19 @@
     pub egresses: Vec<(Box<str>, SocketAddr)>,
     /// Brokers that follow this egress.
     pub brokers: Vec<Presence>,
+    /// Configuration that each egress holds.
+    pub held: Vec<Held>,
+}
+
+/// Which configuration a host holds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Held {
+    /// Name of the host.
+    pub host: Box<str>,
+    /// Revision in force there.
+    pub revision: u64,
+    /// When the teller first knew so, in milliseconds of Unix time.
+    pub since_ms: u64,
 }
 
 /// What a broker knows already when it asks for more.
--- a/crates/route/tests/route.rs
+++ b/crates/route/tests/route.rs
@@ -39,6 +39,7 @@
         load,
         leaving,
         config: 1,
+        config_ms: 0,
     };
     let all = [
         broker("1", "c", 0, false),
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -284,8 +284,9 @@
         }
         let snapshot = state.snapshot_for(now, asked);
         let shown = if state.breaks == Some(Break::Snapshot) { snapshot + 1 } else { snapshot };
+        let shard = if state.breaks == Some(Break::Shard) { 0 } else { state.shard };
         let query = if state.breaks == Some(Break::Answer) { b"another".as_slice() } else { query };
-        let record = record_of(&spec.service, shown, state.shard, query);
+        let record = record_of(&spec.service, shown, shard, query);
         let body = serde_json::json!([{ "record": record }]).to_string();
         let response = Response::builder()
             .header("x-snapshot", snapshot)
--- a/crates/standin/src/work.rs
+++ b/crates/standin/src/work.rs
@@ -61,6 +61,10 @@
     Twice,
     /// Work is run and then shed as if it had not been.
     Shed,
+    /// Arrivals are written as if two more requests were there already, of a cold upstream.
+    Crowd,
+    /// Answers carry another shard's records.
+    Shard,
 }
 
 /// Returns the record that a shard holds for a query, which callers can work out as well.
@@ -180,6 +184,7 @@
         jitter: u32,
         recorder: &Recorder,
     ) -> (u64, Arrival) {
+        let crowd = self.breaks == Some(Break::Crowd);
         let busy = self.running.len() as u32 + 1;
         let just_turned_cold = self.silent_answers.is_some_and(|answers| answers < HANDFUL);
         recorder.write(What::Arrived(Work {
@@ -187,9 +192,9 @@
             domain: spec.domain.clone(),
             request: request.into(),
             repeatable,
-            busy,
+            busy: if crowd { busy + spec.slots } else { busy },
             slots: spec.slots,
-            cold_slots: self.is_cold().then_some(spec.cold_slots),
+            cold_slots: (crowd || self.is_cold()).then_some(spec.cold_slots),
             just_turned_cold,
         }));
         if busy > spec.slots {
