Score cold upstreams instead of ranking them last

Cause: a strict order of phases sent all work of a shard to the first replica that became warm, with its queue, while the others waited for copies.

--- a/crates/egress/src/state.rs
+++ b/crates/egress/src/state.rs
@@ -59,6 +59,19 @@
 }
 
 impl Control {
+    /// Returns whether more than the renewal of grants has changed since `other`.
+    pub(crate) fn differs(&self, other: &Self) -> bool {
+        let tenures = |control: &Self| {
+            control.grants.iter().map(|(key, grant)| (key.clone(), grant.since)).collect::<Vec<_>>()
+        };
+        !Arc::ptr_eq(&self.targets, &other.targets)
+            || !Arc::ptr_eq(&self.rules, &other.rules)
+            || self.epoch != other.epoch
+            || self.egresses != other.egresses
+            || self.held != other.held
+            || tenures(self) != tenures(other)
+    }
+
     /// Returns the permission for a group, if it stands at `now`.
     pub fn grant(&self, now: Instant, key: &Key) -> Option<Grant> {
         self.grants.get(key).copied().filter(|grant| now < grant.until)
--- a/crates/egress/src/traffic.rs
+++ b/crates/egress/src/traffic.rs
@@ -56,6 +56,7 @@
     brokers: RefCell<BTreeMap<Box<str>, (Instant, Presence)>>,
     changed: Notify,
     running: Cell<u32>,
+    taken: RefCell<Arc<Control>>,
 }
 
 impl Traffic {
@@ -82,6 +83,7 @@
             brokers: RefCell::default(),
             changed: Notify::new(),
             running: Cell::new(0),
+            taken: RefCell::default(),
         })
     }
 
@@ -141,6 +143,10 @@
 
     fn take_control(self: &Rc<Self>) {
         let control = self.control.borrow().clone();
+        // Most publications only renew grants, which are looked up where they are needed.
+        if !control.differs(&self.taken.replace(control.clone())) {
+            return;
+        }
         let now = Instant::now();
         self.handovers.borrow_mut().retain(|_, (at, _)| now < *at + HANDOVER_TIME);
         let mut upstreams = self.upstreams.borrow_mut();
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -23,7 +23,7 @@
 use crate::scenario::{self, Fault, Scenario};
 
 /// Time before the measured part, in which connections open and quantiles settle.
-const WARM_UP: Duration = Duration::from_secs(3);
+const WARM_UP: Duration = Duration::from_secs(6);
 
 /// Hosts of the deployment.
 const HOSTS: usize = 6;
@@ -407,7 +407,9 @@
         }
         let mut measured = sums[1].clone();
         measured.add(&sums[2]);
-        let arrived = history.iter().filter(|event| matches!(event.what, What::Arrived(_))).count();
+        let is_ours =
+            |what: &What| matches!(what, What::Arrived(work) if !work.request.ends_with("-direct"));
+        let arrived = history.iter().filter(|event| is_ours(&event.what)).count();
         let all_asked: u64 = sums.iter().map(|sum| sum.asked).sum();
         let mut more = serde_json::Map::new();
         more.insert("p99_before_ms".into(), json!(sums[1].latencies.quantile_ms(0.99)));
--- a/crates/query/src/service.rs
+++ b/crates/query/src/service.rs
@@ -26,6 +26,12 @@
 /// Factor on the score of an upstream in another failure domain than the broker's.
 const FAR: f64 = 1.2;
 
+/// Factor on the score of an upstream that is warming.
+const WARMING: f64 = 1.5;
+
+/// Factor on the score of a cold upstream: it takes over only when the warm ones are that loaded.
+const COLD: f64 = 4.0;
+
 /// Time for which an owner's refusal makes its upstream the last choice.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(20);
 
@@ -201,14 +207,20 @@
         self.candidates.values().filter(move |c| c.shard == shard && c.shards == pin.shards)
     }
 
-    fn score(&self, now: Instant, candidate: &Candidate, seed: u64) -> (u8, f64) {
+    /// Returns whether the owner has refused lately, and how long an answer would take.
+    fn score(&self, now: Instant, candidate: &Candidate, seed: u64) -> (bool, f64) {
         // A spread that differs by search keeps equal upstreams equally loaded.
         let spread = 1.0 + (mix(seed, &candidate.upstream) % 1_000) as f64 / 4_000.0;
         if !self.policy.hedges {
-            return (0, spread);
+            return (false, spread);
         }
+        let warmth = match candidate.warmth {
+            Warmth::Warming if self.policy.ramps => WARMING,
+            Warmth::Cold if self.policy.ramps => COLD,
+            _ => 1.0,
+        };
         let Some(seen) = self.seen.get(&candidate.upstream) else {
-            return (self.class(candidate, false), FIRST_LATENCY.as_secs_f64() * spread);
+            return (false, FIRST_LATENCY.as_secs_f64() * warmth * spread);
         };
         let refused = seen.refused.is_some_and(|at| now < at + REFUSAL_PAUSE);
         let far = if candidate.near { 1.0 } else { FAR };
@@ -217,12 +229,7 @@
             latency * 0.5_f64.powf(age / HALF_LIFE.as_secs_f64())
         });
         let load = f64::from(seen.running + 1);
-        (self.class(candidate, refused), latency * load * far * spread)
-    }
-
-    fn class(&self, candidate: &Candidate, refused: bool) -> u8 {
-        let warmth = if self.policy.ramps { candidate.warmth as u8 } else { 0 };
-        warmth * 2 + u8::from(refused)
+        (refused, latency * load * far * warmth * spread)
     }
 
     /// Notes a part on its way.
