--- a/crates/broker/src/http.rs
+++ b/crates/broker/src/http.rs
@@ -121,11 +121,9 @@
         let received = Instant::now();
         let in_flight = InFlight::new(self);
         let scene = self.scene.borrow().clone();
-        if scene.stage == Stage::Refusing {
-            let entries = self.addresses(&scene);
-            let refused = answer::not_run("", "this host is leaving", entries);
+        let is_leaving = scene.stage == Stage::Refusing;
+        if is_leaving {
             res.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-            return write(res, refused.status, refused.body);
         }
         if scene.config.revision == 0 {
             let refused = answer::not_run("", "no configuration is known yet", Vec::new());
@@ -139,6 +137,13 @@
                 return write(res, fault.status, body);
             }
         };
+        // A request that must run at most once is still served: without the ledger "not run" could
+        // be false of a resend.
+        if is_leaving && request.repeatable {
+            let entries = self.addresses(&scene);
+            let refused = answer::not_run(&request.id, "this host is leaving", entries);
+            return write(res, refused.status, refused.body);
+        }
         let (id, service) = (request.id.clone(), request.service.clone());
         let answer = answer::answer(&id, &self.run(request, received).await);
         drop(in_flight);
--- a/crates/broker/src/search.rs
+++ b/crates/broker/src/search.rs
@@ -36,22 +36,37 @@
 
 async fn search(engine: &Rc<Engine>, request: &Request, received: Instant) -> Outcome {
     let lane = engine.lane(&request.service);
-    if !engine.baseline && !lane.borrow_mut().window.try_enter() {
-        return Outcome::NotRun("overloaded".into());
-    }
     let deadline = received + request.deadline.saturating_sub(RESERVE).max(request.deadline / 2);
-    let (outcome, congested) = if request.repeatable {
-        drive(engine, &lane, request, deadline, Mode::Search).await
+    if request.repeatable {
+        admit(engine, &lane, request, deadline, Mode::Search).await
     } else {
-        (run_once(engine, &lane, request, deadline).await, false)
-    };
-    if !engine.baseline {
-        lane.borrow_mut().window.leave(Instant::now(), congested);
+        run_once(engine, &lane, request, deadline).await
+    }
+}
+
+/// Drives a plan if the service's window has room.
+async fn admit(
+    engine: &Rc<Engine>,
+    lane: &Rc<RefCell<Lane>>,
+    request: &Request,
+    deadline: Instant,
+    mode: Mode,
+) -> Outcome {
+    if engine.baseline {
+        return drive(engine, lane, request, deadline, mode).await.0;
+    }
+    if !lane.borrow_mut().window.try_enter() {
+        return Outcome::NotRun("overloaded".into());
     }
+    let (outcome, congested) = drive(engine, lane, request, deadline, mode).await;
+    lane.borrow_mut().window.leave(Instant::now(), congested);
     outcome
 }
 
 /// Runs a request that must run at most once.
+///
+/// The claim comes before any refusal: only the ledger can tell a first attempt, of which "not run"
+/// is true, from a resend of a request that has run.
 async fn run_once(
     engine: &Rc<Engine>,
     lane: &Rc<RefCell<Lane>>,
@@ -60,7 +75,7 @@
 ) -> Outcome {
     let hash = member::score(&request.id, "shard");
     if engine.baseline {
-        return drive(engine, lane, request, deadline, Mode::Once(hash)).await.0;
+        return admit(engine, lane, request, deadline, Mode::Once(hash)).await;
     }
     let scene = engine.scene.borrow().clone();
     let node = match once::claim(&engine.nodes, &scene, &request.id, deadline).await {
@@ -72,7 +87,7 @@
             return Outcome::Unknown("no ledger knows of earlier attempts".into());
         }
     };
-    let (outcome, _) = drive(engine, lane, request, deadline, Mode::Once(hash)).await;
+    let outcome = admit(engine, lane, request, deadline, Mode::Once(hash)).await;
     if matches!(outcome, Outcome::NotRun(_)) {
         once::not_run(&node, &request.id).await;
     }
--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -8,7 +8,7 @@
 use member::{Roster, rank};
 use route::{Hosts, Kind, Life, group};
 use rules::{Rules, Service};
-use store::ROSTER_KEY;
+use store::roster_key;
 
 use crate::{client, read_config, text};
 
@@ -24,7 +24,7 @@
             config.revision
         )));
     };
-    let roster = client.get(ROSTER_KEY).await.map_err(Error::other)?;
+    let roster = client.get(&roster_key(&text(matches, "cell"))).await.map_err(Error::other)?;
     let roster: Roster = serde_json::from_str(&roster.value).unwrap_or_default();
     let hosts = client.hosts().await.map_err(Error::other)?;
     println!("service {name}, revision {} by {}", config.revision, config.edit.by);
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -50,6 +50,7 @@
             Command::new("explain")
                 .about("Says why a service's work goes where it goes, rule by rule")
                 .arg(Arg::new("service").required(true).value_name("SERVICE").help("Service"))
+                .arg(kernel::flag("cell", "Cell whose roster is read").default_value("main"))
                 .arg(platform()),
         )
         .subcommand(
--- /dev/null
+++ b/crates/ctl/tests/command.rs
@@ -0,0 +1,80 @@
+//! The operators' command line against the platform's stand-in.
+
+use std::process::{Command, Output};
+use std::time::Duration;
+
+use standin::{Faults, Platform};
+
+fn run(args: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_pistachioctl"));
+    command.args(args).env_clear().output().expect("the binary starts")
+}
+
+async fn run_async(args: Vec<String>) -> Output {
+    let run = move || run(&args.iter().map(String::as_str).collect::<Vec<_>>());
+    tokio::task::spawn_blocking(run).await.expect("the command ran")
+}
+
+fn text(output: &Output) -> String {
+    let out = String::from_utf8_lossy(&output.stdout).into_owned();
+    out + &String::from_utf8_lossy(&output.stderr)
+}
+
+fn example() -> &'static str {
+    concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/consortium.rules")
+}
+
+#[test]
+fn check_names_every_fault_and_passes_the_examples() {
+    let path = std::env::temp_dir().join(format!("faults-{}.rules", std::process::id()));
+    let faulty =
+        "domain a # asked by: x\nservice b --shards 0 --replicas 1 # asked by: x\nlimit c\n";
+    std::fs::write(&path, faulty).expect("the file is written");
+    let output = run(&["check", &path.to_string_lossy()]);
+    let _ = std::fs::remove_file(&path);
+    assert_eq!(output.status.code(), Some(1));
+    let all = text(&output);
+    assert!(all.contains("2 faults") && all.contains(":2:") && all.contains(":3:"), "{all}");
+    assert!(run(&["check", example()]).status.success());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn edits_are_applied_shown_explained_and_raced() {
+    let any = "127.0.0.1:0".parse().expect("legal");
+    let platform = Platform::start(any, Duration::ZERO).await.expect("it starts");
+    let address = platform.address().to_string();
+    let args = |words: &[&str]| {
+        let mut args: Vec<String> = words.iter().map(ToString::to_string).collect();
+        args.extend(["--platform".into(), address.clone()]);
+        args
+    };
+    let done = run_async(args(&["apply", example(), "--by", "ann"])).await;
+    assert!(done.status.success(), "{}", text(&done));
+    let done = run_async(args(&["domain", "out", "perth-2", "--by", "bob"])).await;
+    assert!(done.status.success(), "{}", text(&done));
+    let shown = text(&run_async(args(&["show"])).await);
+    assert!(shown.contains("domain perth-2 --out # asked by: bob"), "{shown}");
+    let explained = text(&run_async(args(&["explain", "live-faults"])).await);
+    assert!(explained.contains("perth-2 is out") && explained.contains("asked by hazard desk"));
+    // The file was made from revision 1, and bob was first.
+    let lost = run_async(args(&["apply", example(), "--by", "ann", "--base", "1"])).await;
+    assert_eq!(lost.status.code(), Some(3), "{}", text(&lost));
+    assert!(text(&lost).contains("bob was first"), "{}", text(&lost));
+    let none = run_async(args(&["domain", "out", "perth-9", "--by", "bob"])).await;
+    assert!(text(&none).contains("domain \"perth-9\" does not exist"), "{}", text(&none));
+    platform.set_faults(Faults { down: true, ..Faults::default() });
+    let away = run_async(args(&["domain", "in", "perth-2", "--by", "bob"])).await;
+    assert_eq!(away.status.code(), Some(1));
+    assert!(text(&away).contains("nothing was changed"), "{}", text(&away));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_answer_of_an_accepted_edit_is_resolved() {
+    let any = "127.0.0.1:0".parse().expect("legal");
+    let platform = Platform::start(any, Duration::ZERO).await.expect("it starts");
+    platform.set_faults(Faults { lose_answers: true, ..Faults::default() });
+    let words = ["apply", example(), "--by", "ann", "--platform", &platform.address().to_string()];
+    let done = run_async(words.iter().map(ToString::to_string).collect()).await;
+    assert!(done.status.success(), "{}", text(&done));
+    assert!(text(&done).contains("accepted as revision 1"), "{}", text(&done));
+}
--- a/crates/demo/src/main.rs
+++ b/crates/demo/src/main.rs
@@ -35,6 +35,14 @@
                 .conflicts_with("serve")
                 .help("Run only the stand-ins of a rule file: a platform and the upstreams"),
         )
+        .arg(
+            kernel::number("replica", 0, 63, "With --stand-ins: only upstreams of this replica")
+                .requires("stand-ins"),
+        )
+        .arg(
+            kernel::address("join", "With --stand-ins: list upstreams at this running platform")
+                .requires("stand-ins"),
+        )
         .arg(
             kernel::address("platform-listen", "Address of the platform's stand-in")
                 .default_value("127.0.0.1:0"),
@@ -66,7 +74,9 @@
     let listen = matches.get_one::<SocketAddr>("platform-listen").copied();
     let listen = listen.unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0)));
     if let Some(file) = matches.get_one::<String>("stand-ins") {
-        return stand_ins(file, listen).await;
+        let replica = matches.get_one::<u64>("replica").copied();
+        let join = matches.get_one::<SocketAddr>("join").copied();
+        return stand_ins(file, listen, replica, join).await;
     }
     let mut clusters = Vec::new();
     for (name, rules) in [("consortium", demo::consortium()), ("orzech-pol", demo::orzech_pol())] {
@@ -131,21 +141,36 @@
     Ok(ExitCode::SUCCESS)
 }
 
-async fn stand_ins(file: &str, listen: SocketAddr) -> Result<ExitCode> {
+async fn stand_ins(
+    file: &str,
+    listen: SocketAddr,
+    replica: Option<u64>,
+    join: Option<SocketAddr>,
+) -> Result<ExitCode> {
     let text = std::fs::read_to_string(file);
     let text = text.map_err(|error| Error::other(format!("file \"{file}\": {error}")))?;
     let rules = rules::parse(file, &text).map_err(Error::other)?;
-    let platform = Platform::start(listen, Duration::from_secs(1)).await;
-    let platform = platform.map_err(|error| Error::bind(listen, error))?;
+    let mut specs = Fleet::specs(&rules, Speed::default());
+    specs.retain(|spec| replica.is_none_or(|number| spec.id.ends_with(&format!("-{number}"))));
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    let fleet = Fleet::start(&rules, any, Speed::default(), &Recorder::off()).await;
-    let fleet = fleet.map_err(Error::other)?;
+    let fleet = Fleet::start_some(specs, any, &Recorder::off()).await.map_err(Error::other)?;
     fleet.warm();
-    let edit = Edit::default().next("start", "demo", &text);
-    platform.put(CONFIG_KEY, &serde_json::to_string(&edit).map_err(Error::other)?);
-    platform.list(fleet.hosts());
+    let platform = if let Some(address) = join {
+        let client = reqwest::Client::builder().no_proxy().build().map_err(Error::other)?;
+        let call = client.put(format!("http://{address}/v1/hosts")).json(&fleet.hosts());
+        let answer = call.send().await.and_then(reqwest::Response::error_for_status);
+        answer.map_err(Error::other)?;
+        address
+    } else {
+        let platform = Platform::start(listen, Duration::from_secs(1)).await;
+        let platform = platform.map_err(|error| Error::bind(listen, error))?;
+        let edit = Edit::default().next("start", "demo", &text);
+        platform.put(CONFIG_KEY, &serde_json::to_string(&edit).map_err(Error::other)?);
+        platform.list(fleet.hosts());
+        platform.address()
+    };
     let line = json!({
-        "platform": platform.address().to_string(),
+        "platform": platform.to_string(),
         "upstreams": fleet.upstreams.len(),
     });
     println!("{line}");
--- /dev/null
+++ b/crates/demo/tests/path.rs
@@ -0,0 +1,191 @@
+//! The whole path on real sockets in one process: forms, labels, and losses.
+
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime};
+
+use demo::{Cluster, Plan};
+use history::check;
+use serde_json::{Value, json};
+use standin::{Recorder, Speed};
+
+const RULES: &str = "\
+domain a # asked by: test
+domain b # asked by: test
+service wide --shards 4 --replicas 2 # asked by: test
+limit wide --slots 2 --connections 25 --cold-successes 4 # asked by: test
+deadline wide --default-ms 800 # asked by: test
+service pay --shards 1 --replicas 2 # asked by: test
+limit pay --slots 4 --connections 25 --cold-successes 4 # asked by: test
+repeat pay --operation pay --never # asked by: test
+";
+
+async fn cluster(hosts: usize, recorder: Recorder) -> Cluster {
+    let plan =
+        Plan { rules: RULES.into(), hosts, baseline: false, speed: Speed::default(), warm: true };
+    Cluster::start(plan, recorder).await.expect("the deployment starts")
+}
+
+fn client() -> reqwest::Client {
+    reqwest::Client::builder().no_proxy().build().expect("a client")
+}
+
+async fn post(to: SocketAddr, service: &str, body: String) -> (u16, Value) {
+    let call = client().post(format!("http://{to}/v1/search/{service}")).body(body);
+    let response = call.send().await.expect("an answer");
+    let status = response.status().as_u16();
+    (status, response.json().await.expect("a JSON body"))
+}
+
+async fn search(to: SocketAddr, service: &str) -> (u16, Value) {
+    post(to, service, json!({ "query": "bank" }).to_string()).await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_requests_get_clear_errors_and_the_next_one_is_answered() {
+    let cluster = cluster(2, Recorder::off()).await;
+    let to = cluster.nodes[0].broker.address;
+    let large = json!({ "query": "x".repeat(70_000) }).to_string();
+    let cases = [
+        ("wide", "{".to_string(), 400, "not a search"),
+        ("wide", json!({ "quest": "x" }).to_string(), 400, "quest"),
+        ("wide", json!({ "query": 7 }).to_string(), 400, "string"),
+        ("nowhere", json!({ "query": "x" }).to_string(), 404, "\"nowhere\""),
+        ("wide", large, 413, "at most"),
+        ("wide", json!({ "query": "x", "deadline_ms": 0 }).to_string(), 422, "deadline_ms 0"),
+        ("wide", json!({ "query": "x", "deadline_ms": -5 }).to_string(), 422, "deadline_ms -5"),
+        ("wide", json!({ "query": "x", "deadline_ms": 9_000_000 }).to_string(), 422, "1 to 2000"),
+        ("wide", json!({ "query": "x", "request_id": "a b" }).to_string(), 422, "\"a b\""),
+        (
+            "pay",
+            json!({ "query": "x", "operation": "pay", "request_id": "no-time" }).to_string(),
+            422,
+            "time of issue",
+        ),
+    ];
+    for (service, body, status, part) in cases {
+        let (got, answer) = post(to, service, body).await;
+        let message = answer["error"].as_str().unwrap_or_default().to_string();
+        assert_eq!(got, status, "{message}");
+        assert!(message.contains(part), "{part} is missing from {message}");
+        assert_eq!(search(to, "wide").await.1["outcome"], "complete");
+    }
+    let wrong = client().get(format!("http://{to}/v1/search/wide")).send().await.expect("answer");
+    assert_eq!(wrong.status().as_u16(), 405);
+    let lost = client().get(format!("http://{to}/nowhere")).send().await.expect("answer");
+    assert_eq!(lost.status().as_u16(), 404);
+    assert!(lost.text().await.expect("a body").contains("/nowhere"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_upstreams_give_complete_answers_or_name_the_shard() {
+    let cluster = cluster(3, Recorder::new()).await;
+    let to = cluster.nodes[0].broker.address;
+    let named = |id: &str| {
+        let all = cluster.fleet.upstreams.iter();
+        all.clone().find(|u| &*u.spec().id == id).expect("it exists").clone()
+    };
+    let hour = Duration::from_secs(3_600);
+    named("wide-2-0").restart(hour);
+    for _ in 0..30 {
+        let (status, answer) = search(to, "wide").await;
+        assert_eq!(status, 200, "{answer}");
+        let missing = &answer["coverage"]["missing"];
+        assert!(answer["outcome"] == "complete" || *missing == json!([2]), "{answer}");
+    }
+    named("wide-2-1").restart(hour);
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let (_, answer) = search(to, "wide").await;
+    assert_eq!(answer["outcome"], "partial", "{answer}");
+    assert_eq!(answer["coverage"], json!({ "covered": 3, "total": 4, "missing": [2] }));
+    for shard in 0..4 {
+        named(&format!("wide-{shard}-0")).restart(hour);
+        named(&format!("wide-{shard}-1")).restart(hour);
+    }
+    let mut last = Value::Null;
+    for _ in 0..100 {
+        last = search(to, "wide").await.1;
+        if last["outcome"] == "not_run" {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(last["outcome"], "not_run", "{last}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn payment_runs_once_through_resends_to_every_broker() {
+    let recorder = Recorder::new();
+    let cluster = cluster(3, recorder.clone()).await;
+    // Ledgers answer for ids issued in their tenure only.
+    tokio::time::sleep(Duration::from_millis(4_500)).await;
+    for nonce in 0..20 {
+        let id = once::issue(SystemTime::now(), nonce);
+        let body = json!({ "query": "42", "operation": "pay", "request_id": id }).to_string();
+        let mut outcomes = Vec::new();
+        for node in cluster.nodes.iter().chain(&cluster.nodes) {
+            outcomes.push(post(node.broker.address, "pay", body.clone()).await.1);
+        }
+        assert_eq!(outcomes[0]["outcome"], "complete", "{}", outcomes[0]);
+        assert!(outcomes[1..].iter().all(|o| o["outcome"] == "unknown"), "{outcomes:?}");
+    }
+    let ran =
+        recorder.events().iter().filter(|e| matches!(e.what, history::What::Ran { .. })).count();
+    assert_eq!(ran, 20);
+    assert!(check(&recorder.events()).is_clean());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn domain_taken_out_gets_no_work_and_comes_back() {
+    let cluster = cluster(4, Recorder::new()).await;
+    let set = |out: bool| {
+        let stands = cluster.platform.get(store::CONFIG_KEY);
+        let edit: route::Edit = serde_json::from_str(&stands.value).expect("an edit");
+        let text = rules::set_domain(&edit.text, "b", out, "test").expect("b exists");
+        let edit = edit.next(&format!("e{}", stands.revision), "test", &text);
+        cluster.platform.put(store::CONFIG_KEY, &serde_json::to_string(&edit).expect("JSON"));
+    };
+    let to = cluster.nodes[0].broker.address;
+    set(true);
+    let start = std::time::Instant::now();
+    // Half of the upstreams are left, each shard with one replica.
+    while demo::upstreams(&cluster.nodes[0].broker) != 5 {
+        assert!(start.elapsed() < Duration::from_secs(5), "the domain still takes work");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    for _ in 0..20 {
+        assert_eq!(search(to, "wide").await.1["outcome"], "complete");
+    }
+    set(false);
+    cluster.wait_ready(Duration::from_secs(15)).await.expect("the domain is back");
+    assert_eq!(search(to, "wide").await.1["outcome"], "complete");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn directory_names_brokers_and_a_stopped_host_cuts_nothing() {
+    let mut cluster = cluster(3, Recorder::off()).await;
+    let to = cluster.nodes[0].broker.address;
+    let gone = cluster.nodes[1].name.clone();
+    let gone_address = cluster.nodes[1].broker.address;
+    let entries = || async {
+        let call = client().get(format!("http://{to}/v1/entries")).send().await.expect("answer");
+        call.json::<Value>().await.expect("JSON")
+    };
+    assert_eq!(entries().await["entries"].as_array().map(Vec::len), Some(3));
+    cluster.stop_node(&gone);
+    for _ in 0..60 {
+        // Callers of the leaving host are served, or told at once to go elsewhere.
+        let call = client().post(format!("http://{gone_address}/v1/search/wide"));
+        match call.body(json!({ "query": "x" }).to_string()).send().await {
+            Ok(response) => {
+                let answer: Value = response.json().await.expect("a whole answer");
+                let outcome = answer["outcome"].as_str().unwrap_or_default().to_string();
+                assert!(["complete", "not_run"].contains(&outcome.as_str()), "{answer}");
+            }
+            Err(error) => assert!(error.is_connect(), "{error}"),
+        }
+        assert_eq!(search(to, "wide").await.1["outcome"], "complete");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    let listed = entries().await["entries"].to_string();
+    assert!(!listed.contains(&gone_address.to_string()), "{listed}");
+}
--- /dev/null
+++ b/crates/demo/tests/processes.rs
@@ -0,0 +1,109 @@
+//! Separate processes on loopback, as the README starts them, and a SIGKILL under load.
+
+use std::io::{BufRead, BufReader};
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+
+/// A process that is killed at the end of the test.
+struct Process(Child);
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+fn binary(name: &str) -> PathBuf {
+    let demo = PathBuf::from(env!("CARGO_BIN_EXE_pistachio-demo"));
+    demo.with_file_name(name)
+}
+
+fn start(name: &str, args: &[&str]) -> Process {
+    let mut command = Command::new(binary(name));
+    command.args(args).stdout(Stdio::piped()).stderr(Stdio::null());
+    Process(command.spawn().unwrap_or_else(|error| panic!("{name}: {error}")))
+}
+
+/// Reads the first line that a process prints.
+fn first_line(process: &mut Process) -> Value {
+    let stdout = process.0.stdout.take().expect("its output is piped");
+    let mut line = String::new();
+    BufReader::new(stdout).read_line(&mut line).expect("a line");
+    serde_json::from_str(&line).unwrap_or_else(|error| panic!("{line}: {error}"))
+}
+
+fn free_address() -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("an address").to_string()
+}
+
+async fn search(address: &str) -> Option<Value> {
+    let client = reqwest::Client::builder().no_proxy().build().expect("a client");
+    let call = client.post(format!("http://{address}/v1/search/live-faults"));
+    let answer = call.json(&json!({ "query": "bank" })).send().await.ok()?;
+    answer.json().await.ok()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn searches_stay_true_while_upstreams_are_killed() {
+    let rules = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/consortium.rules");
+    let mut first = start("pistachio-demo", &["--stand-ins", rules, "--replica", "0"]);
+    let platform = first_line(&mut first)["platform"].as_str().expect("an address").to_string();
+    let args = ["--stand-ins", rules, "--replica", "1", "--join", &platform];
+    let mut second = start("pistachio-demo", &args);
+    first_line(&mut second);
+
+    let mut processes = Vec::new();
+    let mut brokers = Vec::new();
+    let egresses: Vec<String> = (0..3).map(|_| free_address()).collect();
+    for (number, egress) in egresses.iter().enumerate() {
+        let (host, domain) = (format!("host-{number}"), format!("perth-{}", number + 1));
+        let broker = free_address();
+        let common = ["--host", &host, "--domain", &domain];
+        let args = [&common[..], &["--listen", egress, "--platform", &platform]].concat();
+        processes.push(start("pistachio-egress", &args));
+        let all = egresses.join(",");
+        let args = [&common[..], &["--listen", &broker, "--egresses", &all]].concat();
+        processes.push(start("pistachio-broker", &args));
+        brokers.push(broker);
+    }
+
+    let begun = Instant::now();
+    loop {
+        if let Some(answer) = search(&brokers[0]).await
+            && answer["outcome"] == "complete"
+            && answer["coverage"]["total"] == 20
+        {
+            break;
+        }
+        assert!(begun.elapsed() < Duration::from_secs(60), "no complete answer in a minute");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+
+    let mut complete = 0;
+    for number in 0..150 {
+        if number == 30 {
+            second.0.kill().expect("it runs");
+        }
+        let answer = search(&brokers[number % 3]).await.expect("an answer");
+        let shards = answer["results"].as_array().map_or(0, Vec::len) as u64;
+        match answer["outcome"].as_str() {
+            Some("complete") => {
+                complete += 1;
+                assert_eq!(shards, 20, "{answer}");
+            }
+            Some("partial") => {
+                let missing = answer["coverage"]["missing"].as_array().map_or(0, Vec::len) as u64;
+                assert!(missing > 0 && shards + missing == 20, "{answer}");
+            }
+            Some("not_run" | "unknown") => {}
+            _ => panic!("{answer}"),
+        }
+    }
+    assert!(complete > 75, "{complete} of 150 complete");
+}
--- a/crates/egress/src/control.rs
+++ b/crates/egress/src/control.rs
@@ -10,7 +10,7 @@
 use member::{Action, Key, Member, Roster};
 use route::{Held, Hosts, Kind, Latest, Life, group};
 use rules::Rules;
-use store::{Client, ROSTER_KEY, Swap};
+use store::{Client, Swap, roster_key};
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch};
 use tokio::task::spawn_local;
@@ -238,9 +238,10 @@
 
     fn read_roster(&self) {
         let (store, events) = (self.store.clone(), self.events.clone());
+        let key = roster_key(&self.settings.cell);
         self.metrics.platform_calls.inc();
         spawn_local(async move {
-            if let Ok(value) = store.get(ROSTER_KEY).await {
+            if let Ok(value) = store.get(&key).await {
                 let _ = events.send(Event::Roster(value));
             }
         });
@@ -250,10 +251,11 @@
         let Ok(value) = serde_json::to_string(roster) else { return };
         let (store, events) = (self.store.clone(), self.events.clone());
         self.metrics.platform_calls.inc();
+        let key = roster_key(&self.settings.cell);
         let (epoch, members) = (roster.epoch, roster.members.len());
         spawn_local(async move {
             let swap = Swap { expect, value: value.into(), lease_ms: None };
-            match store.swap(ROSTER_KEY, &swap).await {
+            match store.swap(&key, &swap).await {
                 Ok(Some(_)) => log::info!("roster {epoch} with {members} members was written"),
                 Ok(None) => {}
                 Err(error) => log::debug!("roster {epoch} was not written: {error}"),
--- a/crates/egress/src/main.rs
+++ b/crates/egress/src/main.rs
@@ -20,6 +20,7 @@
                 .required(true),
         )
         .arg(kernel::address("platform", "Address of the platform's service").required(true))
+        .arg(kernel::name("cell", "Cell of this host").default_value("main"))
         .arg(kernel::address("admin", "Address for GET /healthz and /metrics"))
         .arg(
             kernel::flag("peers", "Egresses to learn from while the platform is away")
@@ -56,7 +57,7 @@
     let peers = matches.get_many::<SocketAddr>("peers").unwrap_or_default().copied();
     let platform = platform.to_string();
     let builder = egress::Builder::new(&text("host"), &text("domain"), listen, &platform);
-    let settings = builder.peers(peers.collect()).build();
+    let settings = builder.peers(peers.collect()).cell(&text("cell")).build();
 
     let mut process = kernel::Process::new("pistachio-egress");
     let handle = egress::start(settings, process.stop())?;
--- a/crates/egress/src/settings.rs
+++ b/crates/egress/src/settings.rs
@@ -11,6 +11,7 @@
     pub(crate) platform: Box<str>,
     pub(crate) admin: Option<SocketAddr>,
     pub(crate) peers: Vec<SocketAddr>,
+    pub(crate) cell: Box<str>,
     pub(crate) baseline: bool,
 }
 
@@ -31,6 +32,7 @@
             platform: platform.into(),
             admin: None,
             peers: Vec::new(),
+            cell: "main".into(),
             baseline: false,
         })
     }
@@ -47,6 +49,12 @@
         self
     }
 
+    /// Names the cell that this host belongs to; its roster is a key of its own.
+    pub fn cell(mut self, cell: &str) -> Self {
+        self.0.cell = cell.into();
+        self
+    }
+
     /// Switches fences and ramps off, for experiments only.
     pub fn baseline(mut self, baseline: bool) -> Self {
         self.0.baseline = baseline;
--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -50,6 +50,8 @@
     coverage: Option<Coverage>,
     #[serde(default)]
     results: Vec<Record>,
+    #[serde(default)]
+    reason: String,
 }
 
 /// What the callers of one service have seen.
@@ -64,6 +66,7 @@
     pub(crate) unknown: u64,
     pub(crate) covered: u64,
     pub(crate) asked: u64,
+    pub(crate) reasons: std::collections::BTreeMap<String, u64>,
 }
 
 impl Tally {
@@ -77,6 +80,9 @@
         self.unknown += other.unknown;
         self.covered += other.covered;
         self.asked += other.asked;
+        for (reason, count) in &other.reasons {
+            *self.reasons.entry(reason.clone()).or_default() += count;
+        }
     }
 }
 
@@ -145,10 +151,11 @@
         let shards = if once.is_some() { 1 } else { self.shards };
         let answered = self.send(address, &id, &body, shards, true).await;
         // A caller that was refused or left in the dark sends the same id once more, elsewhere.
-        if once.is_some() && answered != Some(Label::Complete) {
-            if let Some(other) = self.address(number + 1) {
-                self.send(other, &id, &body, shards, false).await;
-            }
+        if once.is_some()
+            && answered != Some(Label::Complete)
+            && let Some(other) = self.address(number + 1)
+        {
+            self.send(other, &id, &body, shards, false).await;
         }
     }
 
@@ -199,7 +206,7 @@
         let coverage =
             answer.coverage.unwrap_or(Coverage { covered: 0, total: 0, missing: vec![] });
         if first {
-            self.count(label, took, &coverage, shards);
+            self.count(label, took, &coverage, shards, answer.reason);
         }
         let names = if answer.request_id.is_empty() { id.into() } else { answer.request_id };
         self.recorder.write(What::Answered {
@@ -216,11 +223,21 @@
         label
     }
 
-    fn count(&self, label: Label, took: Duration, coverage: &Coverage, shards: u32) {
+    fn count(
+        &self,
+        label: Label,
+        took: Duration,
+        coverage: &Coverage,
+        shards: u32,
+        reason: String,
+    ) {
         let phase = self.phase.load(std::sync::atomic::Ordering::Relaxed);
         let mut tallies = lock(&self.tallies);
         let tally = &mut tallies[phase];
         tally.requests += 1;
+        if !reason.is_empty() {
+            *tally.reasons.entry(reason).or_default() += 1;
+        }
         let total = if coverage.total > 0 { coverage.total } else { shards };
         match label {
             Label::Complete => tally.complete += 1,
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -383,7 +383,6 @@
             "false_not_run" => Break::Shed,
             "limit_overload" | "cold_overload" => Break::Crowd,
             "false_coverage" => Break::Shard,
-            "cut_requests" => return,
             _ => return,
         };
         self.cluster.fleet.upstreams.iter().for_each(|upstream| upstream.set_break(Some(what)));
@@ -414,6 +413,7 @@
         let mut more = serde_json::Map::new();
         more.insert("p99_before_ms".into(), json!(sums[1].latencies.quantile_ms(0.99)));
         more.insert("p99_after_ms".into(), json!(sums[2].latencies.quantile_ms(0.99)));
+        more.insert("reasons".into(), json!(measured.reasons));
         more.insert("complete_before".into(), json!(sums[1].complete));
         more.insert("complete_after".into(), json!(sums[2].complete));
         self.by_service(&mut more);
@@ -490,7 +490,7 @@
 }
 
 /// Returns the processor time that our own threads have used so far.
-fn tier_time() -> Duration {
+pub(crate) fn tier_time() -> Duration {
     let Ok(tasks) = std::fs::read_dir("/proc/self/task") else { return Duration::ZERO };
     let mut total = 0;
     for task in tasks.flatten() {
--- a/crates/load/src/slope.rs
+++ b/crates/load/src/slope.rs
@@ -1,14 +1,302 @@
-//! `pistachio-load slope`: placeholder until the slopes are measured.
+//! `pistachio-load slope`: what one more node, change, upstream or part costs.
 
+use std::net::SocketAddr;
 use std::process::ExitCode;
+use std::time::{Duration, Instant};
 
 use clap::{ArgMatches, Command};
-use kernel::Result;
+use demo::{Cluster, Plan};
+use egress::Builder;
+use kernel::{Error, Process, Result};
+use route::{Edit, Host, Hosts, Kind, Life, Place, Report, Status};
+use serde_json::{Value, json};
+use standin::{Platform, Recorder, Speed};
+use store::CONFIG_KEY;
 
+use crate::figures::Latencies;
+use crate::run::tier_time;
+
+/// Time for which steady membership is measured.
+const STEADY: Duration = Duration::from_secs(8);
+
+/// Most members of a cell.
+const CELL: usize = 9;
+
+/// Bytes of IP and UDP headers around a beat.
+const HEADERS: u64 = 28;
+
+/// Describes the command line.
 pub(crate) fn command() -> Command {
     Command::new("slope")
+        .about("Measures what one more node, change, upstream or part costs, at several sizes")
+        .arg(
+            kernel::flag("of", "What is measured")
+                .value_parser(["membership", "config", "query", "view"])
+                .required(true),
+        )
+        .arg(kernel::number("nodes", 3, 1_000, "Most nodes in one process").default_value("90"))
 }
 
-pub(crate) async fn run(_matches: &ArgMatches) -> Result<ExitCode> {
+/// Runs the command.
+pub(crate) async fn run(matches: &ArgMatches) -> Result<ExitCode> {
+    let most = matches.get_one::<u64>("nodes").copied().unwrap_or(90) as usize;
+    let figures = match matches.get_one::<String>("of").map(String::as_str) {
+        Some("membership") => membership(most).await?,
+        Some("config") => config(most).await?,
+        Some("query") => query().await?,
+        _ => view()?,
+    };
+    println!("{figures}");
     Ok(ExitCode::SUCCESS)
 }
+
+/// Fits a line by least squares; returns slope, intercept and the largest residual.
+fn fit(points: &[(f64, f64)]) -> Value {
+    let count = points.len() as f64;
+    let mean = |pick: fn(&(f64, f64)) -> f64| points.iter().map(pick).sum::<f64>() / count;
+    let (x_mean, y_mean) = (mean(|p| p.0), mean(|p| p.1));
+    let spread: f64 = points.iter().map(|p| (p.0 - x_mean).powi(2)).sum();
+    let together: f64 = points.iter().map(|p| (p.0 - x_mean) * (p.1 - y_mean)).sum();
+    let slope = together / spread.max(f64::MIN_POSITIVE);
+    let intercept = y_mean - slope * x_mean;
+    let residuals = points.iter().map(|p| (p.1 - slope * p.0 - intercept).abs());
+    let worst = residuals.fold(0.0, f64::max);
+    json!({ "slope": slope, "intercept": intercept, "worst_residual": worst, "points": points })
+}
+
+fn resident_kib() -> f64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let number = line.and_then(|text| text.split_whitespace().next()?.parse().ok());
+    number.unwrap_or(0.0)
+}
+
+/// Egresses without upstreams, in cells.
+struct Fleet {
+    platform: Platform,
+    egresses: Vec<egress::Handle>,
+    /// Kept, since a dropped process stops.
+    _processes: Vec<Process<kernel::Running>>,
+}
+
+const RULES: &str = "domain d0 # asked by: x\ndomain d1 # asked by: x\ndomain d2 # asked by: x\n";
+
+impl Fleet {
+    async fn start(nodes: usize) -> Result<Self> {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let platform = Platform::start(any, Duration::ZERO).await.map_err(Error::other)?;
+        put(&platform, 0)?;
+        let (mut egresses, mut processes) = (Vec::new(), Vec::new());
+        let address = platform.address().to_string();
+        for number in 0..nodes {
+            let process = Process::new("slope");
+            let builder =
+                Builder::new(&format!("host-{number}"), &format!("d{}", number % 3), any, &address);
+            let builder = builder.cell(&format!("cell-{}", number / CELL));
+            egresses.push(egress::start(builder.build(), process.stop())?);
+            processes.push(process.run());
+        }
+        let fleet = Self { platform, egresses, _processes: processes };
+        let start = Instant::now();
+        while !fleet.is_settled() {
+            if start.elapsed() > Duration::from_secs(60) {
+                return Err(Error::other(format!("{nodes} nodes have not settled in a minute")));
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        Ok(fleet)
+    }
+
+    fn is_settled(&self) -> bool {
+        let nodes = self.egresses.len();
+        self.egresses.iter().enumerate().all(|(number, egress)| {
+            let size = (nodes - number / CELL * CELL).min(CELL);
+            egress.control.borrow().egresses.len() == size
+        })
+    }
+
+    fn sum(&self, pick: impl Fn(&egress::Metrics) -> u64) -> u64 {
+        self.egresses.iter().map(|egress| pick(&egress.metrics)).sum()
+    }
+}
+
+fn put(platform: &Platform, number: u64) -> Result<u64> {
+    let text = format!("## {number}\n{RULES}");
+    let edit = Edit::default().next(&format!("edit-{number}"), "slope", &text);
+    Ok(platform.put(CONFIG_KEY, &serde_json::to_string(&edit).map_err(Error::other)?))
+}
+
+/// Numbers of nodes to measure at.
+fn sizes(most: usize) -> Vec<usize> {
+    [3, 6, 9, 27, 90, 180, 300].into_iter().filter(|size| *size <= most).collect()
+}
+
+async fn membership(most: usize) -> Result<Value> {
+    let (mut rows, mut bytes_points, mut cpu_points) = (Vec::new(), Vec::new(), Vec::new());
+    for nodes in sizes(most) {
+        let before = resident_kib();
+        let fleet = Fleet::start(nodes).await?;
+        // What the start has left behind settles first.
+        tokio::time::sleep(Duration::from_secs(4)).await;
+        let count = |fleet: &Fleet| {
+            let beats = fleet.sum(|metrics| metrics.beats.get());
+            (beats, fleet.sum(|metrics| metrics.beat_bytes.get()), fleet.platform.calls().0)
+        };
+        let (start, cpu) = (count(&fleet), tier_time());
+        tokio::time::sleep(STEADY).await;
+        let (end, cpu) = (count(&fleet), tier_time().saturating_sub(cpu));
+        let per_node = |n: u64| n as f64 / nodes as f64 / STEADY.as_secs_f64();
+        // Each beat is counted where it is sent and where it is received.
+        let bytes = per_node(end.1 - start.1) + 2.0 * per_node(end.0 - start.0) * HEADERS as f64;
+        let cell = nodes.min(CELL) as f64;
+        let cpu_percent = cpu.as_secs_f64() / STEADY.as_secs_f64() / nodes as f64 * 100.0;
+        if nodes <= CELL {
+            bytes_points.push((cell, bytes));
+            cpu_points.push((cell, cpu_percent));
+        }
+        rows.push(json!({
+            "nodes": nodes,
+            "cell": cell,
+            "beat_bytes_per_s_per_node": bytes,
+            "cpu_percent_of_core_per_node": cpu_percent,
+            "resident_kib_per_node": (resident_kib() - before) / nodes as f64,
+            "platform_calls_per_s": (end.2 - start.2) as f64 / STEADY.as_secs_f64(),
+        }));
+    }
+    Ok(json!({
+        "of": "membership",
+        "rows": rows,
+        "bytes_by_cell_size": fit(&bytes_points),
+        "cpu_percent_by_cell_size": fit(&cpu_points),
+    }))
+}
+
+async fn config(most: usize) -> Result<Value> {
+    const CHANGES: u64 = 40;
+    let mut rows = Vec::new();
+    for nodes in sizes(most) {
+        let fleet = Fleet::start(nodes).await?;
+        tokio::time::sleep(Duration::from_secs(4)).await;
+        let (calls, cpu) = (fleet.platform.calls().0, tier_time());
+        let begun = Instant::now();
+        let mut latencies = Latencies::default();
+        for number in 1..=CHANGES {
+            let start = Instant::now();
+            let revision = put(&fleet.platform, number)?;
+            let held = |e: &egress::Handle| e.control.borrow().config.revision >= revision;
+            while !fleet.egresses.iter().all(held) {
+                if start.elapsed() > Duration::from_secs(11) {
+                    return Err(Error::other("a change was not in force everywhere within 11 s"));
+                }
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+            latencies.record(start.elapsed());
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        let took = begun.elapsed().as_secs_f64();
+        let cpu = tier_time().saturating_sub(cpu);
+        rows.push(json!({
+            "nodes": nodes,
+            "in_force_everywhere_p50_ms": latencies.quantile_ms(0.5),
+            "in_force_everywhere_max_ms": latencies.quantile_ms(1.0),
+            "platform_calls_per_change":
+                (fleet.platform.calls().0 - calls) as f64 / CHANGES as f64,
+            "seconds": took,
+            "cpu_ms_per_change_and_node": cpu.as_secs_f64() * 1e3 / (CHANGES * nodes as u64) as f64,
+        }));
+    }
+    Ok(json!({ "of": "config", "changes": CHANGES, "rows": rows }))
+}
+
+async fn query() -> Result<Value> {
+    const SEARCHES: u32 = 1_500;
+    let (mut rows, mut points) = (Vec::new(), Vec::new());
+    for shards in [1_u32, 10, 20, 40, 60] {
+        let rules = format!(
+            "domain d0 # asked by: x\nservice wide --shards {shards} --replicas 1 # asked by: x\n\
+             limit wide --slots 8 --connections 30 --cold-slots 8 # asked by: x\n"
+        );
+        let speed = Speed { tail_per_mille: 0, ..Speed::default() };
+        let plan = Plan { rules: rules.into(), hosts: 2, baseline: false, speed, warm: true };
+        let cluster = Cluster::start(plan, Recorder::off()).await?;
+        let client = reqwest::Client::builder().no_proxy().build().map_err(Error::other)?;
+        let url = format!("http://{}/v1/search/wide", cluster.nodes[0].broker.address);
+        let mut cpu = Duration::ZERO;
+        let mut latencies = Latencies::default();
+        for number in 0..SEARCHES + 300 {
+            if number == 300 {
+                cpu = tier_time();
+            }
+            let start = Instant::now();
+            let call = client.post(&url).json(&json!({ "query": "slope" })).send().await;
+            call.map_err(Error::other)?.bytes().await.map_err(Error::other)?;
+            if number >= 300 {
+                latencies.record(start.elapsed());
+            }
+        }
+        let idle_at = tier_time();
+        let micros = idle_at.saturating_sub(cpu).as_secs_f64() * 1e6 / f64::from(SEARCHES);
+        points.push((f64::from(shards), micros));
+        rows.push(json!({
+            "shards": shards,
+            "cpu_us_per_search": micros,
+            "p50_ms": latencies.quantile_ms(0.5),
+            "p99_ms": latencies.quantile_ms(0.99),
+            "parts_per_call": cluster.nodes[0].broker.metrics.parts.get() as f64
+                / cluster.nodes[0].broker.metrics.batches.get().max(1) as f64,
+        }));
+    }
+    Ok(json!({ "of": "query", "rows": rows, "cpu_us_by_parts": fit(&points) }))
+}
+
+/// The list and the reports of `count` upstreams.
+fn listed(count: u32) -> (Hosts, Report) {
+    let place = |n: u32| Place { service: "svc".into(), shard: n % 520, shards: 520 };
+    let host = |n: u32| Host {
+        id: format!("svc-{n}").into(),
+        kind: Kind::Upstream,
+        address: SocketAddr::from(([10, 0, (n >> 8) as u8, n as u8], 80)),
+        domain: format!("d{}", n % 18).into(),
+        life: Life::Live,
+        place: Some(place(n)),
+    };
+    let status = |n: u32| Status {
+        upstream: format!("svc-{n}").into(),
+        service: "svc".into(),
+        domain: format!("d{}", n % 18).into(),
+        shard: n % 520,
+        shards: 520,
+        snapshot: 1,
+        phase: "warm".into(),
+    };
+    let hosts = Hosts { version: 1, hosts: (0..count).map(host).collect() };
+    let report = Report { version: 1, epoch: 1, upstreams: (0..count).map(status).collect() };
+    (hosts, report)
+}
+
+fn view() -> Result<Value> {
+    let (mut bytes, mut reports, mut cpu, mut memory) = (vec![], vec![], vec![], vec![]);
+    for count in [1_000, 5_000, 20_000, 75_000] {
+        let before = resident_kib();
+        let (hosts, report) = listed(count);
+        let held = resident_kib() - before;
+        let text = serde_json::to_string(&hosts).map_err(Error::other)?;
+        let told = serde_json::to_string(&report).map_err(Error::other)?;
+        let start = Instant::now();
+        let read: Hosts = serde_json::from_str(&text).map_err(Error::other)?;
+        let took = start.elapsed().as_secs_f64() * 1e3;
+        let count = f64::from(count);
+        bytes.push((count, text.len() as f64));
+        reports.push((count, told.len() as f64));
+        cpu.push((count, took));
+        memory.push((count, held));
+        drop((read, hosts, report));
+    }
+    Ok(json!({
+        "of": "view",
+        "list_bytes_by_upstreams": fit(&bytes),
+        "report_bytes_by_upstreams": fit(&reports),
+        "list_read_ms_by_upstreams": fit(&cpu),
+        "resident_kib_by_upstreams": fit(&memory),
+    }))
+}
--- a/crates/query/src/plan.rs
+++ b/crates/query/src/plan.rs
@@ -385,10 +385,12 @@
             slot.hedged = true;
             let pin = self.pin.unwrap_or(Pin { snapshot: 0, shards: 0 });
             let other = service.choose(now, pin, shard, &slot.tried, self.request.seed);
+            // Without another replica, another slot and connection of the same one is left.
+            let other = other.or_else(|| service.choose(now, pin, shard, &[], self.request.seed));
+            let Some(other) = other.cloned() else { continue };
             // A cold upstream is slower than most stragglers, and must be spared.
-            let worthwhile = other.is_some_and(|c| c.warmth != Warmth::Cold);
-            if worthwhile && service.budget.spend() {
-                self.send(service, now, shard, true, actions);
+            if other.warmth != Warmth::Cold && service.budget.spend() {
+                self.dispatch(service, now, shard, other.upstream, other.owner, true, actions);
             }
         }
     }
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -31,9 +31,22 @@
         listen: SocketAddr,
         speed: Speed,
         recorder: &Recorder,
+    ) -> std::io::Result<Self> {
+        Self::start_some(Self::specs(rules, speed), listen, recorder).await
+    }
+
+    /// Starts the upstreams given.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address cannot be listened on.
+    pub async fn start_some(
+        specs: Vec<Spec>,
+        listen: SocketAddr,
+        recorder: &Recorder,
     ) -> std::io::Result<Self> {
         let mut fleet = Self::default();
-        for spec in Self::specs(rules, speed) {
+        for spec in specs {
             let upstream = Upstream::start(spec, listen, recorder.clone()).await?;
             fleet.upstreams.push(upstream);
         }
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -137,8 +137,9 @@
         let kv = Router::with_path("v1/kv/{key}")
             .get(Call { platform: self.clone(), run: Run::Read })
             .put(Call { platform: self.clone(), run: Run::Write });
-        let hosts =
-            Router::with_path("v1/hosts").get(Call { platform: self.clone(), run: Run::Hosts });
+        let hosts = Router::with_path("v1/hosts")
+            .get(Call { platform: self.clone(), run: Run::Hosts })
+            .put(Call { platform: self.clone(), run: Run::List });
         Router::new().push(kv).push(hosts)
     }
 
@@ -221,6 +222,7 @@
     Read,
     Write,
     Hosts,
+    List,
 }
 
 struct Call {
@@ -250,6 +252,10 @@
         match self.run {
             Run::Read => self.read(req, res).await,
             Run::Write => self.write(req, res, faults.lose_answers).await,
+            Run::List => match req.parse_json_with_max_size::<Vec<Host>>(MAX_VALUE).await {
+                Ok(hosts) => self.platform.list(hosts),
+                Err(_) => _ = res.status_code(StatusCode::BAD_REQUEST),
+            },
             Run::Hosts => {
                 let hosts = self.platform.state().listed();
                 res.render(Json(hosts));
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -16,8 +16,10 @@
 /// Key of the configuration.
 pub const CONFIG_KEY: &str = "pistachio-config";
 
-/// Key of the roster of a cell.
-pub const ROSTER_KEY: &str = "pistachio-roster";
+/// Returns the key of the roster of a cell.
+pub fn roster_key(cell: &str) -> String {
+    format!("pistachio-roster-{cell}")
+}
 
 /// Time that one call may take; the platform answers in milliseconds when it is well.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
