Keep tenures over roster changes, hand ledgers over

A lapse shorter than fence and drain, or a carried epoch, keeps the tenure, since nobody else can have gained the group.

--- a/crates/egress/src/control.rs
+++ b/crates/egress/src/control.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use kernel::Stop;
-use member::{Action, Key, Member, Roster};
+use member::{Action, Key, Member, Roster, Tenures};
 use route::{Held, Hosts, Kind, Latest, Life, group};
 use rules::Rules;
 use store::{Client, Swap, roster_key};
@@ -65,6 +65,7 @@
     role: watch::Sender<Role>,
     metrics: Metrics,
     held: BTreeMap<Box<str>, Held>,
+    tenures: Tenures,
 }
 
 /// Runs control until the process has left the roster.
@@ -79,6 +80,7 @@
     };
     let (events, inbox) = wiring.events;
     let role = watch::channel(Role::default()).0;
+    let wait = member.takeover_wait();
     let mut state = Loop {
         settings,
         member,
@@ -96,6 +98,7 @@
         role,
         metrics: wiring.metrics,
         held: BTreeMap::new(),
+        tenures: Tenures::new(wait),
     };
     feed::start(&state.settings, &state.store, &state.role, &state.events, &state.metrics);
     state.run(inbox, wiring.stop).await;
@@ -290,8 +293,8 @@
         let mut grants = BTreeMap::new();
         for key in &self.keys {
             let Some(until) = self.member.may_send(now, key) else { continue };
-            let held = self.grants.get(key).filter(|grant| now < grant.until);
-            let since = held.map_or(wall, |grant| grant.since);
+            let (epoch, carried) = (self.member.roster().epoch, self.member.is_carried(key));
+            let since = self.tenures.renew(now, wall, key, until, epoch, carried);
             grants.insert(key.clone(), Grant { until, since });
         }
         self.note_held(wall);
--- a/crates/egress/src/state.rs
+++ b/crates/egress/src/state.rs
@@ -6,6 +6,7 @@
 use std::time::{Instant, SystemTime};
 
 use member::{Epoch, Key};
+use once::Ledger;
 use route::{Config, Hosts};
 use rules::Rules;
 
@@ -102,6 +103,8 @@
     pub keys: Vec<(Box<str>, Box<str>)>,
     /// What is known of their upstreams.
     pub upstreams: Vec<Handover>,
+    /// Ledgers of the buckets among the groups.
+    pub ledgers: Vec<(Box<str>, Ledger)>,
 }
 
 /// What control asks of traffic.
--- a/crates/egress/src/traffic.rs
+++ b/crates/egress/src/traffic.rs
@@ -10,7 +10,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::Request;
 use limit::Phase;
-use member::Key;
+use member::{Epoch, Key};
 use once::{Ledger, Verdict};
 use route::{Follow, Presence, Report, Status, Update, View};
 use tokio::sync::{Notify, mpsc, watch};
@@ -38,9 +38,6 @@
 /// Longest time that a follower waits for a change.
 const FOLLOW_TIME: Duration = Duration::from_secs(3);
 
-/// Time for which a handover waits for the roster that it belongs to.
-const HANDOVER_TIME: Duration = Duration::from_secs(10);
-
 /// State of the traffic thread.
 pub(crate) struct Traffic {
     pub(crate) metrics: Metrics,
@@ -48,7 +45,8 @@
     events: mpsc::UnboundedSender<Event>,
     baseline: bool,
     upstreams: RefCell<BTreeMap<Box<str>, Rc<Owned>>>,
-    handovers: RefCell<BTreeMap<Box<str>, (Instant, Handover)>>,
+    handovers: RefCell<BTreeMap<Box<str>, (Epoch, Handover)>>,
+    inherited: RefCell<BTreeMap<Key, (Epoch, Ledger)>>,
     ledgers: RefCell<BTreeMap<Key, (SystemTime, Ledger)>>,
     cancels: RefCell<BTreeMap<(u64, u32), Rc<Cancel>>>,
     report: RefCell<Report>,
@@ -76,6 +74,7 @@
             baseline,
             upstreams: RefCell::default(),
             handovers: RefCell::default(),
+            inherited: RefCell::default(),
             ledgers: RefCell::default(),
             cancels: RefCell::default(),
             report: RefCell::new(Report { version, ..Report::default() }),
@@ -148,7 +147,10 @@
             return;
         }
         let now = Instant::now();
-        self.handovers.borrow_mut().retain(|_, (at, _)| now < *at + HANDOVER_TIME);
+        // A handover counts in its own epoch only: later, others may have owned the group.
+        self.handovers.borrow_mut().retain(|_, (epoch, _)| *epoch >= control.epoch);
+        self.inherited.borrow_mut().retain(|_, (epoch, _)| *epoch >= control.epoch);
+        self.take_ledgers(now, &control);
         let mut upstreams = self.upstreams.borrow_mut();
         upstreams.retain(|name, _| control.targets.contains_key(name));
         for (name, target) in &*control.targets {
@@ -164,7 +166,8 @@
             });
             owned.update(target.clone(), &service.limit);
             let handovers = self.handovers.borrow();
-            let handover = handovers.get(name).map(|(_, handover)| handover);
+            let handover = handovers.get(name).filter(|(epoch, _)| *epoch == control.epoch);
+            let handover = handover.map(|(_, handover)| handover);
             owned.set_tenure(now, grant.since, handover);
         }
         drop(upstreams);
@@ -275,8 +278,25 @@
         self.set_view(&self.control.borrow().clone());
     }
 
+    /// Goes on with the ledgers that came with their buckets.
+    fn take_ledgers(&self, now: Instant, control: &Control) {
+        self.inherited.borrow_mut().retain(|key, (epoch, ledger)| {
+            let Some(grant) = control.grant(now, key) else { return true };
+            if *epoch != control.epoch {
+                return true;
+            }
+            let mut ledgers = self.ledgers.borrow_mut();
+            // One that has granted already in this tenure stays.
+            if ledgers.get(key).is_none_or(|(since, _)| *since != grant.since) {
+                ledgers.insert(key.clone(), (grant.since, ledger.clone()));
+            }
+            false
+        });
+    }
+
     /// Claims the run of a request that must run at most once.
-    pub(crate) fn claim(&self, id: &str) -> Option<Verdict> {
+    pub(crate) fn claim(self: &Rc<Self>, id: &str) -> Option<Verdict> {
+        self.take_control();
         let key = bucket(id);
         let grant = self.control.borrow().grant(Instant::now(), &key)?;
         let mut ledgers = self.ledgers.borrow_mut();
@@ -314,7 +334,13 @@
             });
         }
         let keys = command.keys.iter().map(|key| (key.domain.clone(), key.name.clone())).collect();
-        let release = Release { epoch: command.epoch, keys, upstreams };
+        let mut ledgers = self.ledgers.borrow_mut();
+        let given = command.keys.iter().filter_map(|key| {
+            let (_, ledger) = ledgers.remove(key)?;
+            Some((key.name.clone(), ledger))
+        });
+        let ledgers = given.collect();
+        let release = Release { epoch: command.epoch, keys, upstreams, ledgers };
         let Ok(body) = serde_json::to_vec(&release) else { return };
         let to = command.to;
         log::info!("{} groups are handed over to {to}", release.keys.len());
@@ -333,10 +359,13 @@
 
     /// Takes a handover by a former owner.
     pub(crate) fn take_over(&self, release: Release) {
-        let now = Instant::now();
         for handover in release.upstreams {
             let name = handover.upstream.clone();
-            self.handovers.borrow_mut().insert(name, (now, handover));
+            self.handovers.borrow_mut().insert(name, (release.epoch, handover));
+        }
+        for (name, ledger) in release.ledgers {
+            let key = Key { domain: "".into(), name };
+            self.inherited.borrow_mut().insert(key, (release.epoch, ledger));
         }
         let keys = release.keys.into_iter().map(|(domain, name)| Key { domain, name }).collect();
         let _ = self.events.send(Event::Released(release.epoch, keys));
--- a/crates/history/src/check.rs
+++ b/crates/history/src/check.rs
@@ -137,18 +137,25 @@
 }
 
 fn false_not_run(history: &[Event]) -> u64 {
-    // A refused resend of a request that ran before is still false: the id is the same.
-    let arrived: BTreeSet<&str> = history
-        .iter()
-        .filter_map(|event| match &event.what {
-            What::Ran { request, .. } => Some(&**request),
-            _ => None,
-        })
-        .collect();
-    count(history, |what| match what {
-        What::Answered { request, label: Label::NotRun, .. } => arrived.contains(&**request),
-        _ => false,
-    })
+    let mut ran: BTreeSet<&str> = BTreeSet::new();
+    // Requests that were refused and have not been sent again since.
+    let mut refused: BTreeSet<&str> = BTreeSet::new();
+    let mut broken = 0;
+    for event in history {
+        match &event.what {
+            What::Asked(request) => _ = refused.remove(&**request),
+            What::Ran { request, .. } => {
+                broken += u64::from(refused.contains(&**request));
+                ran.insert(request);
+            }
+            What::Answered { request, label: Label::NotRun, .. } => {
+                broken += u64::from(ran.contains(&**request));
+                refused.insert(request);
+            }
+            _ => {}
+        }
+    }
+    broken
 }
 
 fn false_coverage(history: &[Event]) -> u64 {
--- a/crates/history/src/event.rs
+++ b/crates/history/src/event.rs
@@ -57,6 +57,8 @@
         /// Whether the operation may run more than once.
         repeatable: bool,
     },
+    /// A caller sent a request, for the first time or once more.
+    Asked(Box<str>),
     /// A caller had its answer.
     Answered {
         /// Request that it answers.
--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -167,6 +167,7 @@
         shards: u32,
         first: bool,
     ) -> Option<Label> {
+        self.recorder.write(What::Asked(id.into()));
         let start = Instant::now();
         let url = format!("http://{address}/v1/search/{}", self.service);
         let call = self.client.post(url).json(body).timeout(PATIENCE);
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -20,8 +20,10 @@
 mod rank;
 mod roster;
 mod state;
+mod tenure;
 
 pub use crate::beat::Beat;
 pub use crate::rank::{rank, score};
 pub use crate::roster::{Entry, Epoch, HostId, Incarnation, Roster};
 pub use crate::state::{Action, Key, Member, Settings};
+pub use crate::tenure::Tenures;
--- a/crates/member/src/state.rs
+++ b/crates/member/src/state.rs
@@ -284,6 +284,16 @@
         self.supported_until(now, &higher)
     }
 
+    /// Returns whether this host owned the group when it adopted the current epoch.
+    pub fn is_carried(&self, key: &Key) -> bool {
+        self.carried.contains(key)
+    }
+
+    /// Returns the time that a group waits before it changes its owner without a handover.
+    pub fn takeover_wait(&self) -> Duration {
+        self.settings.fence + self.settings.drain
+    }
+
     /// Returns whether what this epoch gives to this host has taken effect.
     fn has_gained(&self, now: Instant, key: &Key) -> bool {
         let Some(established) = self.established else { return false };
--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -15,9 +15,11 @@
 //! assert_eq!(ledger.claim(now, &id), once::Verdict::Repeated);
 //! ```
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use serde::{Deserialize, Serialize};
+
 /// Largest difference between the clocks of two hosts that is allowed for.
 pub const CLOCK_MARGIN: Duration = Duration::from_secs(2);
 
@@ -60,17 +62,18 @@
 }
 
 /// Ids granted in one tenure.
-#[derive(Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Ledger {
     since: SystemTime,
     granted: BTreeMap<Box<str>, SystemTime>,
-    expiry: BTreeMap<SystemTime, Vec<Box<str>>>,
+    /// Ids by expiry, in order.
+    expiry: VecDeque<(SystemTime, Box<str>)>,
 }
 
 impl Ledger {
     /// Starts a tenure.
     pub fn new(since: SystemTime) -> Self {
-        Self { since, granted: BTreeMap::new(), expiry: BTreeMap::new() }
+        Self { since, granted: BTreeMap::new(), expiry: VecDeque::new() }
     }
 
     /// Claims the run of a request.
@@ -92,7 +95,8 @@
         }
         let expires = issued + LIFETIME + CLOCK_MARGIN;
         self.granted.insert(id.into(), expires);
-        self.expiry.entry(expires).or_default().push(id.into());
+        let later = self.expiry.partition_point(|(at, _)| *at <= expires);
+        self.expiry.insert(later, (expires, id.into()));
         Verdict::Granted
     }
 
@@ -112,13 +116,9 @@
     }
 
     fn expire(&mut self, now: SystemTime) {
-        while let Some(entry) = self.expiry.first_entry() {
-            if *entry.key() > now {
-                return;
-            }
-            for id in entry.remove() {
-                self.granted.remove(&id);
-            }
+        while self.expiry.front().is_some_and(|(at, _)| *at <= now) {
+            let Some((_, id)) = self.expiry.pop_front() else { return };
+            self.granted.remove(&id);
         }
     }
 }
