Answer the first beat of an epoch at once; keep short lapses out of reports

Cause of the gap at a roster change: support came with the next ordinary beat, up to 0.7 s later; now the first word in an epoch is answered at once.

--- a/crates/demo/src/cluster.rs
+++ b/crates/demo/src/cluster.rs
@@ -122,14 +122,16 @@
         let platform = self.platform.address().to_string();
         let baseline = self.plan.baseline;
         let settings = egress::Builder::new(&name, domain, loopback(), &platform);
-        let (egress_process, stop) = process(&name);
-        let egress = egress::start(settings.baseline(baseline).build(), stop)?;
+        let (mut egress_process, stop) = process(&name);
+        let mut egress = egress::start(settings.baseline(baseline).build(), stop)?;
         let mut egresses = vec![egress.address];
         egresses.extend(self.nodes.iter().map(|node| node.egress.address));
         let settings = broker::Builder::new(&name, domain, loopback()).egresses(egresses);
-        let (broker_process, stop) = process(&name);
+        egress.threads.drain(..).for_each(|thread| egress_process.add_thread(thread));
+        let (mut broker_process, stop) = process(&name);
         let starting = broker::start(settings.baseline(baseline).build(), stop);
-        let broker = self.tier.spawn(starting).await.map_err(Error::other)??;
+        let mut broker = self.tier.spawn(starting).await.map_err(Error::other)??;
+        broker.threads.drain(..).for_each(|thread| broker_process.add_thread(thread));
         self.platform.list([Host {
             id: name.clone().into(),
             kind: Kind::Entry,
--- a/crates/egress/src/control.rs
+++ b/crates/egress/src/control.rs
@@ -38,6 +38,11 @@
     Key { domain: "".into(), name: format!("once/{number}").into() }
 }
 
+/// Returns whether a group is the bucket of a ledger.
+pub(crate) fn is_bucket(key: &Key) -> bool {
+    key.domain.is_empty()
+}
+
 /// What the control thread needs from its surroundings.
 pub(crate) struct Wiring {
     pub(crate) udp: std::net::UdpSocket,
--- a/crates/egress/src/owned.rs
+++ b/crates/egress/src/owned.rs
@@ -32,6 +32,10 @@
     pub(crate) place: Cell<Place>,
     /// Requests whose answers are no longer wanted.
     pub(crate) cancels: mpsc::UnboundedSender<Box<str>>,
+    /// When this host could last send here.
+    pub(crate) open_at: Cell<Option<Instant>>,
+    /// Whether the group has been handed over to its next owner.
+    pub(crate) handed_over: Cell<bool>,
     tenure: Cell<Option<SystemTime>>,
     waiting: RefCell<BTreeMap<Ticket, oneshot::Sender<Go>>>,
     next_ticket: Cell<Ticket>,
@@ -60,6 +64,8 @@
             idle: RefCell::default(),
             place: Cell::new(place),
             cancels,
+            open_at: Cell::new(None),
+            handed_over: Cell::new(false),
             tenure: Cell::new(None),
             waiting: RefCell::default(),
             next_ticket: Cell::new(0),
@@ -82,6 +88,7 @@
 
     /// Takes the start of a tenure; one that did not follow from a handover starts cold.
     pub(crate) fn set_tenure(&self, now: Instant, since: SystemTime, handover: Option<&Handover>) {
+        self.handed_over.set(false);
         if self.tenure.replace(Some(since)) == Some(since) {
             return;
         }
--- a/crates/egress/src/part.rs
+++ b/crates/egress/src/part.rs
@@ -15,7 +15,7 @@
 use crate::traffic::Traffic;
 
 /// Longest time for which a part waits while the fence is closed, as around a roster's change.
-const FENCE_WAIT: Duration = Duration::from_millis(80);
+pub(crate) const FENCE_WAIT: Duration = Duration::from_millis(80);
 
 /// Time beyond the deadline by which a well upstream has said that it gave up.
 const GRACE: Duration = Duration::from_millis(10);
@@ -118,7 +118,7 @@
         if traffic.may_send(now, owned) {
             return true;
         }
-        if now >= until {
+        if now >= until || owned.handed_over.get() {
             return false;
         }
         tokio::time::sleep(Duration::from_millis(2)).await;
--- a/crates/egress/src/start.rs
+++ b/crates/egress/src/start.rs
@@ -62,7 +62,7 @@
             // Serves until control has left the roster, then ends what is on its way.
             tokio::select! {
                 _ = has_left => {}
-                _ = dead.wait_for(|dead| *dead) => return,
+                () = is_killed(&mut dead) => return,
             }
             let until = Instant::now() + DRAIN_TIME;
             while traffic.running() > 0 && Instant::now() < until {
@@ -82,7 +82,7 @@
         tokio::select! {
             () = control::run(settings, member, wiring) => { let _ = left.send(()); }
             // The other thread must not take this for a planned stop.
-            _ = dead.wait_for(|dead| *dead) => std::mem::forget(left),
+            () = is_killed(&mut dead) => std::mem::forget(left),
         }
     };
     let threads = vec![
@@ -92,6 +92,13 @@
     Ok(Handle { address, metrics, control: published, threads, killed: kill })
 }
 
+/// Waits for [`Handle::kill`]; a handle that was merely dropped kills nothing.
+async fn is_killed(dead: &mut watch::Receiver<bool>) {
+    if dead.wait_for(|dead| *dead).await.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
+
 fn member(settings: &Settings, address: SocketAddr) -> Member {
     let life = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let incarnation = life.as_micros() as u64;
--- a/crates/egress/src/traffic.rs
+++ b/crates/egress/src/traffic.rs
@@ -17,10 +17,10 @@
 use tokio::task::spawn_local;
 
 use crate::connection::{Connection, open};
-use crate::control::bucket;
+use crate::control::{bucket, is_bucket};
 use crate::metrics::Metrics;
 use crate::owned::{Owned, Place};
-use crate::part::Cancel;
+use crate::part::{Cancel, FENCE_WAIT};
 use crate::state::{Command, Control, Event, Handover, Release};
 
 /// Time between two looks at waiting parts and at the report.
@@ -209,7 +209,12 @@
         for (name, owned) in &*self.upstreams.borrow() {
             let target = owned.target.borrow();
             let (place, phase) = (owned.place.get(), owned.gate.borrow().phase(now));
-            let open = control.grant(now, &target.key).is_some();
+            if control.grant(now, &target.key).is_some() {
+                owned.open_at.set(Some(now));
+            }
+            // Parts wait as long for the fence, so a lapse that short is not worth a report.
+            let open = owned.open_at.get().is_some_and(|at| now < at + FENCE_WAIT);
+            let open = open && !owned.handed_over.get();
             if !open || place.snapshot == 0 || matches!(phase, Phase::Draining | Phase::Gone) {
                 continue;
             }
@@ -292,6 +297,15 @@
             }
             false
         });
+        // A bucket without claims is handed over as well: its ledger knows that there were none.
+        for (key, grant) in control.grants.iter().filter(|(key, _)| is_bucket(key)) {
+            let mut ledgers = self.ledgers.borrow_mut();
+            let new = || (grant.since, Ledger::new(grant.since));
+            let held = ledgers.entry(key.clone()).or_insert_with(new);
+            if held.0 != grant.since {
+                *held = new();
+            }
+        }
     }
 
     /// Claims the run of a request that must run at most once.
@@ -323,6 +337,7 @@
             if !command.keys.contains(&owned.target.borrow().key) {
                 continue;
             }
+            owned.handed_over.set(true);
             let gate = owned.gate.borrow();
             let until = gate.busy_until().unwrap_or(now);
             upstreams.push(Handover {
--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -159,6 +159,13 @@
         }
     }
 
+    /// Sends one request to an address that the directory has not named.
+    pub(crate) async fn ask_at(&self, address: SocketAddr) {
+        let id = once::issue(SystemTime::now(), rand::rng().random());
+        let body = json!({ "query": id, "request_id": id });
+        self.send(address, &id, &body, self.shards, false).await;
+    }
+
     async fn send(
         &self,
         address: SocketAddr,
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::process::ExitCode;
 use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use clap::{ArgMatches, Command};
@@ -16,6 +16,7 @@
 use serde_json::json;
 use standin::{Break, Faults, Fleet, Recorder, Speed, Upstream};
 use store::CONFIG_KEY;
+use tokio::sync::watch;
 
 use crate::caller::{Caller, Tally};
 use crate::direct;
@@ -88,6 +89,14 @@
     snapshot: u64,
     killed_at: Option<Instant>,
     recovered: Arc<Mutex<Option<f64>>>,
+    told: Arc<Mutex<Vec<Told>>>,
+}
+
+/// A node whose configuration is written into the history.
+struct Told {
+    name: Box<str>,
+    egress: watch::Receiver<Arc<egress::Control>>,
+    broker: watch::Receiver<Arc<broker::Scene>>,
 }
 
 /// Runs the command.
@@ -105,7 +114,7 @@
     let direct = if name == "steady" { Some(run.direct().await) } else { None };
     let processor = run.play(&scenario).await?;
     if let Some(broken) = broken {
-        run.commit_history(broken);
+        run.commit_after(broken).await;
     }
     let mut figures = run.figures(&name, &deployment, &policy, seed);
     figures.more.insert("tier_cpu_us_per_part".into(), json!(processor));
@@ -152,6 +161,7 @@
             snapshot: 1,
             killed_at: None,
             recovered: Arc::default(),
+            told: Arc::default(),
         };
         run.note_seeds();
         run.make_callers();
@@ -163,6 +173,12 @@
         if let Ok(mut seeds) = self.seeds.lock() {
             *seeds = addresses;
         }
+        let told = self.cluster.nodes.iter().map(|node| Told {
+            name: node.name.clone(),
+            egress: node.egress.control.clone(),
+            broker: node.broker.scene.clone(),
+        });
+        *self.told.lock().unwrap_or_else(PoisonError::into_inner) = told.collect();
     }
 
     fn make_callers(&mut self) {
@@ -202,6 +218,7 @@
             let seed = self.random.random();
             arrivals.push(tokio::spawn(arrive(caller.clone(), bears, self.load.clone(), seed)));
         }
+        let nodes = tokio::spawn(tell_configs(self.cluster.recorder.clone(), self.told.clone()));
         let refresh = tokio::spawn(refresh(self.callers.values().next().cloned()));
         tokio::time::sleep(WARM_UP).await;
         let (start, parts, processor) = (Instant::now(), self.parts(), tier_time());
@@ -217,6 +234,7 @@
         self.phase.store(3, Ordering::Relaxed);
         arrivals.iter().for_each(tokio::task::JoinHandle::abort);
         refresh.abort();
+        nodes.abort();
         // The last answers come in.
         tokio::time::sleep(Duration::from_millis(2_500)).await;
         Ok(processor.as_secs_f64() * 1e6 / (parts.max(1)) as f64)
@@ -351,8 +369,7 @@
                 lost |= fewest < Some(all);
                 if lost && fewest == Some(all) {
                     let took = killed.elapsed().as_secs_f64();
-                    *recovered.lock().unwrap_or_else(std::sync::PoisonError::into_inner) =
-                        Some(took);
+                    *recovered.lock().unwrap_or_else(PoisonError::into_inner) = Some(took);
                     return;
                 }
             }
@@ -374,7 +391,7 @@
         Ok(())
     }
 
-    /// Commits a violation at an upstream.
+    /// Lets every upstream commit a violation, where that is an upstream's to commit.
     fn commit(&mut self, name: &str) {
         let what = match name {
             "mixed_snapshots" => Break::Snapshot,
@@ -388,18 +405,48 @@
         self.cluster.fleet.upstreams.iter().for_each(|upstream| upstream.set_break(Some(what)));
     }
 
-    /// Commits a violation that needs another actor than an upstream.
-    fn commit_history(&self, name: &str) {
+    /// Commits a violation that is another stand-in's: a rogue owner, entry host or node.
+    async fn commit_after(&self, name: &str) {
         let recorder = &self.cluster.recorder;
         let upstream = &self.cluster.fleet.upstreams[0];
-        let _ = (recorder, upstream, name);
+        match name {
+            "late_domain_work" => recorder.write(What::DomainOut(upstream.spec().domain.clone())),
+            "late_leaving_work" => recorder.write(What::Leaving(upstream.spec().id.clone())),
+            "cut_requests" => return self.cut().await,
+            "config_reverts" => {
+                for revision in [2, 1] {
+                    recorder.write(What::InForce { node: "rogue".into(), revision });
+                }
+                return;
+            }
+            _ => return,
+        }
+        tokio::time::sleep(Duration::from_millis(5_100)).await;
+        let client = reqwest::Client::builder().no_proxy().build().unwrap_or_default();
+        let call = client.post(format!("http://{}/search", upstream.address()));
+        let _ = call.header("x-request-id", "1-rogue").send().await;
+    }
+
+    /// Lets an entry host take a request and close the connection.
+    async fn cut(&self) {
+        let any = std::net::SocketAddr::from(([127, 0, 0, 1], 0));
+        let Ok(listener) = tokio::net::TcpListener::bind(any).await else { return };
+        let Ok(address) = listener.local_addr() else { return };
+        tokio::spawn(async move {
+            if let Ok((stream, _)) = listener.accept().await {
+                let _ = stream.readable().await;
+            }
+        });
+        if let Some(caller) = self.callers.values().next() {
+            caller.ask_at(address).await;
+        }
     }
 
     fn figures(&self, name: &str, deployment: &str, policy: &str, seed: u64) -> Figures {
         let history = self.cluster.recorder.events();
         let mut sums = vec![Tally::default(); 4];
         for caller in self.callers.values() {
-            let tallies = caller.tallies.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+            let tallies = caller.tallies.lock().unwrap_or_else(PoisonError::into_inner);
             for (sum, tally) in sums.iter_mut().zip(tallies.iter()) {
                 sum.add(tally);
             }
@@ -418,8 +465,7 @@
         more.insert("complete_after".into(), json!(sums[2].complete));
         self.by_service(&mut more);
         if self.killed_at.is_some() {
-            let recovered =
-                *self.recovered.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+            let recovered = *self.recovered.lock().unwrap_or_else(PoisonError::into_inner);
             more.insert("recovered_s".into(), json!(recovered));
         }
         let (calls, writes) = self.cluster.platform.calls();
@@ -449,7 +495,7 @@
     fn by_service(&self, more: &mut serde_json::Map<String, serde_json::Value>) {
         let mut services = serde_json::Map::new();
         for (name, caller) in &self.callers {
-            let tallies = caller.tallies.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+            let tallies = caller.tallies.lock().unwrap_or_else(PoisonError::into_inner);
             let mut sum = tallies[1].clone();
             sum.add(&tallies[2]);
             let figures = json!({
@@ -489,6 +535,26 @@
     }
 }
 
+/// Writes which configuration each live node holds.
+async fn tell_configs(recorder: Recorder, told: Arc<Mutex<Vec<Told>>>) {
+    loop {
+        for node in told.lock().unwrap_or_else(PoisonError::into_inner).iter() {
+            let write = |role: &str, revision| {
+                let node = format!("{role} {}", node.name).into();
+                recorder.write(What::InForce { node, revision });
+            };
+            // The sender of a dead node is gone, and what it held last says nothing.
+            if node.egress.has_changed().is_ok() {
+                write("egress", node.egress.borrow().config.revision);
+            }
+            if node.broker.has_changed().is_ok() {
+                write("broker", node.broker.borrow().config.revision);
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+}
+
 /// Returns the processor time that our own threads have used so far.
 pub(crate) fn tier_time() -> Duration {
     let Ok(tasks) = std::fs::read_dir("/proc/self/task") else { return Duration::ZERO };
--- a/crates/member/src/state.rs
+++ b/crates/member/src/state.rs
@@ -207,6 +207,8 @@
         if beat.incarnation > peer.incarnation {
             peer.renew(beat.incarnation);
         }
+        // The first word in our epoch is answered at once, so that support needs no interval.
+        let is_first = beat.epoch == self.roster.epoch && peer.epoch < beat.epoch;
         if beat.sequence > peer.received {
             peer.received = beat.sequence;
             peer.heard = Some(now);
@@ -230,6 +232,10 @@
         if beat.epoch > self.roster.epoch && now + self.settings.interval < self.next_read {
             self.next_read = now;
         }
+        if is_first && let Some(address) = self.address_of(&beat.host) {
+            let withdrawn = self.withdrawn();
+            actions.push(Action::Send(address, self.beat(now, &beat.host, &withdrawn)));
+        }
         actions
     }
 
--- a/crates/query/src/plan.rs
+++ b/crates/query/src/plan.rs
@@ -10,7 +10,7 @@
 pub type PartId = u32;
 
 /// Share of the budget that warm-up copies leave to hedges.
-const COPY_RESERVE: f64 = 0.1;
+const COPY_RESERVE: f64 = 0.5;
 
 /// How a search goes to the shards.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
