Split the large files; read the roster from one host of a cell

Cause: every member read the roster every 2.8 s, which at 7,500 nodes is 2,700 reads a second, over the 2,000 that the KV bears. The first member of a cell reads as often as before, the others every 28 s, since beats carry rosters.

--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -1,7 +1,9 @@
 //! `pistachio-load`: load and experiments against small in-process stand-ins.
 
+mod breaks;
 mod caller;
 mod direct;
+mod faults;
 mod figures;
 mod run;
 mod scenario;
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -12,16 +12,15 @@
 use kernel::{Error, Result};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use route::{Edit, Life};
 use serde_json::json;
-use standin::{Break, Faults, Fleet, Recorder, Speed, Upstream};
-use store::CONFIG_KEY;
+use standin::{Recorder, Speed};
 use tokio::sync::watch;
 
+use crate::breaks::BREAKS;
 use crate::caller::{Caller, Tally};
 use crate::direct;
 use crate::figures::Figures;
-use crate::scenario::{self, Fault, Scenario};
+use crate::scenario::{self, Scenario};
 
 /// Time before the measured part, in which connections open and quantiles settle.
 const WARM_UP: Duration = Duration::from_secs(6);
@@ -29,27 +28,6 @@
 /// Hosts of the deployment.
 const HOSTS: usize = 6;
 
-/// Time between two upstreams' moves to a new snapshot.
-const SNAPSHOT_STEP: Duration = Duration::from_millis(30);
-
-/// Time between the list's word that an upstream leaves and its end.
-const LEAVE_TIME: Duration = Duration::from_secs(6);
-
-/// Violations that can be committed on demand.
-const BREAKS: [&str; 11] = [
-    "cold_overload",
-    "limit_overload",
-    "late_domain_work",
-    "late_leaving_work",
-    "cut_requests",
-    "mixed_snapshots",
-    "duplicate_runs",
-    "false_not_run",
-    "false_coverage",
-    "wrong_answers",
-    "config_reverts",
-];
-
 /// Describes the command line.
 pub(crate) fn command() -> Command {
     Command::new("run")
@@ -77,23 +55,23 @@
         )
 }
 
-struct Run {
-    cluster: Cluster,
-    callers: BTreeMap<Box<str>, Arc<Caller>>,
-    seeds: Arc<Mutex<Vec<std::net::SocketAddr>>>,
-    phase: Arc<AtomicUsize>,
-    load: Arc<AtomicU32>,
-    random: StdRng,
-    length: Duration,
-    domain: Box<str>,
-    snapshot: u64,
-    killed_at: Option<Instant>,
-    recovered: Arc<Mutex<Option<f64>>>,
-    told: Arc<Mutex<Vec<Told>>>,
+pub(crate) struct Run {
+    pub(crate) cluster: Cluster,
+    pub(crate) callers: BTreeMap<Box<str>, Arc<Caller>>,
+    pub(crate) seeds: Arc<Mutex<Vec<std::net::SocketAddr>>>,
+    pub(crate) phase: Arc<AtomicUsize>,
+    pub(crate) load: Arc<AtomicU32>,
+    pub(crate) random: StdRng,
+    pub(crate) length: Duration,
+    pub(crate) domain: Box<str>,
+    pub(crate) snapshot: u64,
+    pub(crate) killed_at: Option<Instant>,
+    pub(crate) recovered: Arc<Mutex<Option<f64>>>,
+    pub(crate) told: Arc<Mutex<Vec<Told>>>,
 }
 
 /// A node whose configuration is written into the history.
-struct Told {
+pub(crate) struct Told {
     name: Box<str>,
     egress: watch::Receiver<Arc<egress::Control>>,
     broker: watch::Receiver<Arc<broker::Scene>>,
@@ -168,7 +146,7 @@
         Ok(run)
     }
 
-    fn note_seeds(&self) {
+    pub(crate) fn note_seeds(&self) {
         let addresses = self.cluster.nodes.iter().map(|node| node.broker.address).collect();
         if let Ok(mut seeds) = self.seeds.lock() {
             *seeds = addresses;
@@ -244,204 +222,6 @@
         self.cluster.nodes.iter().map(|node| node.broker.metrics.parts.get()).sum()
     }
 
-    fn pick(&mut self) -> Upstream {
-        // Among the services with the most shards, where one straggler hurts most.
-        let many: Vec<Upstream> =
-            self.cluster.fleet.upstreams.iter().filter(|u| u.spec().shards > 1).cloned().collect();
-        many[self.random.random_range(0..many.len())].clone()
-    }
-
-    async fn fault(&mut self, fault: Fault) -> Result<()> {
-        match fault {
-            Fault::Slow(factor) => self.pick().set_slow(factor),
-            Fault::Chill => self.pick().chill(),
-            Fault::Restart => self.pick().restart(Duration::from_millis(300)),
-            Fault::Leave => self.leave(),
-            Fault::DomainOut => self.set_domain(true),
-            Fault::DomainIn => {
-                self.cluster.fleet.restart_domain(&self.domain, Duration::from_millis(300));
-                tokio::time::sleep(Duration::from_millis(400)).await;
-                self.set_domain(false);
-            }
-            Fault::Snapshot => self.move_snapshot(),
-            Fault::Repartition => self.repartition(),
-            Fault::Mute => {
-                for _ in 0..5 {
-                    self.pick().mute_connections();
-                }
-            }
-            Fault::StoreDown(share) => {
-                self.faults_for(share, Faults { down: true, ..Faults::default() });
-            }
-            Fault::LoseAnswers(share) => {
-                self.faults_for(share, Faults { lose_answers: true, ..Faults::default() });
-            }
-            Fault::KillEgress => self.kill_egress(),
-            Fault::RollingStop => self.rolling_stop().await?,
-            Fault::Load(load) => self.load.store(load, Ordering::Relaxed),
-        }
-        Ok(())
-    }
-
-    fn leave(&mut self) {
-        let upstream = self.pick();
-        let id = upstream.spec().id.clone();
-        self.cluster.platform.set_life(&id, Life::Leaving);
-        let (platform, recorder) = (self.cluster.platform.clone(), self.cluster.recorder.clone());
-        recorder.write(What::Leaving(id.clone()));
-        tokio::spawn(async move {
-            tokio::time::sleep(LEAVE_TIME).await;
-            upstream.restart(Duration::from_secs(3_600));
-            platform.unlist(&[id]);
-        });
-    }
-
-    /// Takes the domain out or in, as `pistachioctl domain` would.
-    fn set_domain(&self, out: bool) {
-        let platform = &self.cluster.platform;
-        let stands = platform.get(CONFIG_KEY);
-        let edit: Edit = serde_json::from_str(&stands.value).unwrap_or_default();
-        let Ok(text) = rules::set_domain(&edit.text, &self.domain, out, "experiment") else {
-            return;
-        };
-        let edit = edit.next(&format!("edit-{}", stands.revision), "experiment", &text);
-        let revision = platform.put(CONFIG_KEY, &serde_json::to_string(&edit).unwrap_or_default());
-        self.cluster.recorder.write(What::Accepted(revision));
-        let domain = self.domain.clone();
-        let what = if out { What::DomainOut(domain) } else { What::DomainIn(domain) };
-        self.cluster.recorder.write(what);
-    }
-
-    fn move_snapshot(&mut self) {
-        self.snapshot += 1;
-        let (snapshot, fleet) = (self.snapshot, self.cluster.fleet.clone());
-        tokio::spawn(async move {
-            for upstream in fleet.upstreams.iter().filter(|u| u.spec().shards > 1) {
-                let (shard, shards) = upstream.place();
-                upstream.move_to(snapshot, shard, shards);
-                tokio::time::sleep(SNAPSHOT_STEP).await;
-            }
-        });
-    }
-
-    /// Moves the first service with many shards to half as many, with twice the replicas.
-    fn repartition(&mut self) {
-        self.snapshot += 1;
-        let name = self.cluster.rules.services.iter().find(|(_, s)| s.shards > 1);
-        let name = name.map(|(name, _)| name.clone()).unwrap_or_default();
-        let (snapshot, fleet) = (self.snapshot, self.cluster.fleet.clone());
-        let platform = self.cluster.platform.clone();
-        tokio::spawn(async move {
-            for upstream in fleet.upstreams.iter().filter(|u| u.spec().service == name) {
-                let (shard, shards) = upstream.place();
-                upstream.move_to(snapshot, shard % (shards / 2), shards / 2);
-                platform.list([Fleet::host(upstream)]);
-            }
-        });
-    }
-
-    fn faults_for(&self, share: u32, faults: Faults) {
-        let platform = self.cluster.platform.clone();
-        let time = scenario::share(self.length, share);
-        platform.set_faults(faults);
-        tokio::spawn(async move {
-            tokio::time::sleep(time).await;
-            platform.set_faults(Faults::default());
-        });
-    }
-
-    /// Kills an egress, and notes when all upstreams take work again.
-    fn kill_egress(&mut self) {
-        let place = self.random.random_range(0..self.cluster.nodes.len());
-        self.cluster.kill_egress(place);
-        let killed = Instant::now();
-        self.killed_at = Some(killed);
-        let scenes: Vec<_> = self.cluster.nodes.iter().map(|n| n.broker.scene.clone()).collect();
-        let (all, recovered) = (self.cluster.fleet.upstreams.len(), self.recovered.clone());
-        tokio::spawn(async move {
-            let mut lost = false;
-            loop {
-                tokio::time::sleep(Duration::from_millis(20)).await;
-                let count = |scene: &Arc<broker::Scene>| {
-                    scene.candidates.values().map(Vec::len).sum::<usize>()
-                };
-                let fewest = scenes.iter().map(|scene| count(&scene.borrow())).min();
-                lost |= fewest < Some(all);
-                if lost && fewest == Some(all) {
-                    let took = killed.elapsed().as_secs_f64();
-                    *recovered.lock().unwrap_or_else(PoisonError::into_inner) = Some(took);
-                    return;
-                }
-            }
-        });
-    }
-
-    async fn rolling_stop(&mut self) -> Result<()> {
-        let names: Vec<_> =
-            self.cluster.nodes.iter().map(|n| (n.name.clone(), n.domain.clone())).collect();
-        let step = scenario::share(self.length, 850) / names.len() as u32;
-        for (name, domain) in names {
-            let next = Instant::now() + step;
-            self.cluster.add_node(&domain).await?;
-            tokio::time::sleep(step / 3).await;
-            self.cluster.stop_node(&name);
-            self.note_seeds();
-            tokio::time::sleep_until(next.into()).await;
-        }
-        Ok(())
-    }
-
-    /// Lets every upstream commit a violation, where that is an upstream's to commit.
-    fn commit(&mut self, name: &str) {
-        let what = match name {
-            "mixed_snapshots" => Break::Snapshot,
-            "wrong_answers" => Break::Answer,
-            "duplicate_runs" => Break::Twice,
-            "false_not_run" => Break::Shed,
-            "limit_overload" | "cold_overload" => Break::Crowd,
-            "false_coverage" => Break::Shard,
-            _ => return,
-        };
-        self.cluster.fleet.upstreams.iter().for_each(|upstream| upstream.set_break(Some(what)));
-    }
-
-    /// Commits a violation that is another stand-in's: a rogue owner, entry host or node.
-    async fn commit_after(&self, name: &str) {
-        let recorder = &self.cluster.recorder;
-        let upstream = &self.cluster.fleet.upstreams[0];
-        match name {
-            "late_domain_work" => recorder.write(What::DomainOut(upstream.spec().domain.clone())),
-            "late_leaving_work" => recorder.write(What::Leaving(upstream.spec().id.clone())),
-            "cut_requests" => return self.cut().await,
-            "config_reverts" => {
-                for revision in [2, 1] {
-                    recorder.write(What::InForce { node: "rogue".into(), revision });
-                }
-                return;
-            }
-            _ => return,
-        }
-        tokio::time::sleep(Duration::from_millis(5_100)).await;
-        let client = reqwest::Client::builder().no_proxy().build().unwrap_or_default();
-        let call = client.post(format!("http://{}/search", upstream.address()));
-        let _ = call.header("x-request-id", "1-rogue").send().await;
-    }
-
-    /// Lets an entry host take a request and close the connection.
-    async fn cut(&self) {
-        let any = std::net::SocketAddr::from(([127, 0, 0, 1], 0));
-        let Ok(listener) = tokio::net::TcpListener::bind(any).await else { return };
-        let Ok(address) = listener.local_addr() else { return };
-        tokio::spawn(async move {
-            if let Ok((stream, _)) = listener.accept().await {
-                let _ = stream.readable().await;
-            }
-        });
-        if let Some(caller) = self.callers.values().next() {
-            caller.ask_at(address).await;
-        }
-    }
-
     fn figures(&self, name: &str, deployment: &str, policy: &str, seed: u64) -> Figures {
         let history = self.cluster.recorder.events();
         let mut sums = vec![Tally::default(); 4];
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -16,11 +16,14 @@
 //! ```
 
 mod beat;
+mod epoch;
 mod peer;
+mod propose;
 mod rank;
 mod roster;
 mod state;
 mod tenure;
+mod vote;
 
 pub use crate::beat::Beat;
 pub use crate::rank::{rank, score};
--- a/crates/member/src/state.rs
+++ b/crates/member/src/state.rs
@@ -9,8 +9,11 @@
 use crate::rank::rank;
 use crate::roster::{Entry, Epoch, HostId, Incarnation, Roster};
 
-/// Beats that a takeover inside an epoch takes after a majority has withdrawn.
-const TAKEOVER_BEATS: u32 = 3;
+/// Beats between two reads of the roster by the first member of a cell.
+const OFTEN_BEATS: u32 = 4;
+
+/// Beats between two reads by every other member.
+const SELDOM_BEATS: u32 = 40;
 
 /// A group of upstreams: its failure domain and its name.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -75,23 +78,23 @@
 /// One host's part in its cell.
 #[derive(Debug)]
 pub struct Member {
-    settings: Settings,
-    roster: Roster,
-    revision: u64,
-    read_done: bool,
-    config: u64,
-    leaving: bool,
-    peers: BTreeMap<HostId, Peer>,
-    keys: BTreeSet<Key>,
-    carried: BTreeSet<Key>,
-    released: BTreeSet<Key>,
-    early: (Epoch, BTreeSet<Key>),
-    established: Option<Instant>,
-    next_beats: Instant,
-    next_read: Instant,
-    next_write: Instant,
-    unlike_since: Option<Instant>,
-    absent: BTreeMap<HostId, Instant>,
+    pub(crate) settings: Settings,
+    pub(crate) roster: Roster,
+    pub(crate) revision: u64,
+    pub(crate) read_done: bool,
+    pub(crate) config: u64,
+    pub(crate) leaving: bool,
+    pub(crate) peers: BTreeMap<HostId, Peer>,
+    pub(crate) keys: BTreeSet<Key>,
+    pub(crate) carried: BTreeSet<Key>,
+    pub(crate) released: BTreeSet<Key>,
+    pub(crate) early: (Epoch, BTreeSet<Key>),
+    pub(crate) established: Option<Instant>,
+    pub(crate) next_beats: Instant,
+    pub(crate) next_read: Instant,
+    pub(crate) next_write: Instant,
+    pub(crate) unlike_since: Option<Instant>,
+    pub(crate) absent: BTreeMap<HostId, Instant>,
 }
 
 impl Member {
@@ -174,7 +177,7 @@
     /// Takes a roster read from the KV; a revision of 0 stands for no value.
     pub fn on_read(&mut self, now: Instant, revision: u64, roster: Option<Roster>) -> Vec<Action> {
         self.read_done = true;
-        self.next_read = now + self.settings.interval * 4;
+        self.next_read = now + self.settings.interval * self.read_beats(now);
         let Some(roster) = roster else { return Vec::new() };
         if roster.epoch >= self.roster.epoch {
             self.revision = revision;
@@ -257,6 +260,19 @@
         actions
     }
 
+    /// Returns the beats between two reads of the roster.
+    ///
+    /// One member of a cell reads often; the others hear of a new roster by beats, and read now
+    /// and then only in case those are lost, so that reads grow with cells.
+    fn read_beats(&self, now: Instant) -> u32 {
+        let is_heard = |host: &HostId| {
+            let peer = self.peers.get(host);
+            peer.is_some_and(|peer| peer.heard_within(now, self.settings.fence))
+        };
+        let mut before = self.roster.members.keys().take_while(|host| **host < self.settings.host);
+        if self.is_member() && before.any(is_heard) { SELDOM_BEATS } else { OFTEN_BEATS }
+    }
+
     /// Drops hosts that are in no roster and have long been silent.
     fn forget(&mut self, now: Instant) {
         let roster = &self.roster;
@@ -290,169 +306,11 @@
         self.supported_until(now, &higher)
     }
 
-    /// Returns whether this host owned the group when it adopted the current epoch.
-    pub fn is_carried(&self, key: &Key) -> bool {
-        self.carried.contains(key)
-    }
-
     /// Returns the time that a group waits before it changes its owner without a handover.
     pub fn takeover_wait(&self) -> Duration {
         self.settings.fence + self.settings.drain
     }
 
-    /// Returns whether what this epoch gives to this host has taken effect.
-    fn has_gained(&self, now: Instant, key: &Key) -> bool {
-        let Some(established) = self.established else { return false };
-        if self.roster.prior.is_empty() || self.carried.contains(key) || self.released.contains(key)
-        {
-            return true;
-        }
-        now >= established + self.settings.fence + self.settings.drain
-    }
-
-    /// Returns until when a majority supports this host above all of `higher`.
-    fn supported_until(&self, now: Instant, higher: &[&HostId]) -> Option<Instant> {
-        let accepts = |withdrawn: &BTreeSet<HostId>| higher.iter().all(|h| withdrawn.contains(*h));
-        let own = accepts(&self.withdrawn()).then(|| now + self.settings.fence);
-        let members = self.roster.members.keys();
-        let mut until: Vec<Instant> =
-            members
-                .filter_map(|host| {
-                    if *host == self.settings.host { own } else { self.acked(host, &accepts) }
-                })
-                .filter(|until| *until > now)
-                .collect();
-        until.sort_by(|a, b| b.cmp(a));
-        until.get(self.roster.majority() - 1).copied()
-    }
-
-    fn acked(&self, host: &str, accepts: &dyn Fn(&BTreeSet<HostId>) -> bool) -> Option<Instant> {
-        let peer = self.peers.get(host)?;
-        let incarnation = self.roster.members.get(host)?.incarnation;
-        let ack = peer.ack.as_ref()?;
-        let counts = peer.incarnation == incarnation
-            && ack.epoch == self.roster.epoch
-            && accepts(&ack.withdrawn);
-        counts.then(|| ack.sent + self.settings.fence)
-    }
-
-    fn withdrawn(&self) -> BTreeSet<HostId> {
-        let peers = self.peers.iter().filter(|(_, peer)| peer.vote == Vote::Withdrawn);
-        let hosts = peers.map(|(host, _)| host.clone());
-        hosts.filter(|host| self.roster.members.contains_key(host)).collect()
-    }
-
-    /// Moves to a newer roster and keeps what this host owns under both.
-    fn adopt(&mut self, now: Instant, roster: Roster) -> Vec<Action> {
-        if roster.epoch <= self.roster.epoch {
-            return Vec::new();
-        }
-        // A skipped epoch may have given a group to others in between.
-        let follows = roster.epoch == self.roster.epoch + 1;
-        let keys = self.keys.iter().filter(|key| follows && self.may_send(now, key).is_some());
-        let held: BTreeSet<Key> = keys.cloned().collect();
-        self.roster = roster;
-        self.established = None;
-        self.released.clear();
-        if self.early.0 == self.roster.epoch {
-            self.released = std::mem::take(&mut self.early.1);
-        }
-        self.carried.clear();
-        for host in self.roster.members.keys() {
-            let peer = self.peers.entry(host.clone()).or_insert_with(|| Peer::new(now));
-            peer.vote = Vote::Support;
-            peer.supported = now;
-        }
-        self.next_beats = now;
-        self.establish(now);
-        let mut releases: BTreeMap<HostId, Vec<Key>> = BTreeMap::new();
-        for key in held {
-            let owner = rank(&self.roster, &key.domain, &key.name).first().map(|h| (*h).clone());
-            match owner {
-                Some(owner) if owner == self.settings.host => {
-                    self.carried.insert(key);
-                }
-                Some(owner) => releases.entry(owner).or_default().push(key),
-                None => {}
-            }
-        }
-        let epoch = self.roster.epoch;
-        releases.into_iter().map(|(host, keys)| Action::Release(host, epoch, keys)).collect()
-    }
-
-    /// Notes when a majority of the prior roster has let go of it.
-    fn establish(&mut self, now: Instant) {
-        if self.established.is_some() || self.roster.epoch == 0 {
-            return;
-        }
-        let let_go = self.roster.prior.iter().filter(|(host, incarnation)| {
-            if **host == self.settings.host {
-                return **incarnation <= self.settings.incarnation;
-            }
-            let adopted = self.peers.get(*host).is_some_and(|peer| {
-                peer.incarnation == **incarnation && peer.epoch >= self.roster.epoch
-            });
-            adopted || self.is_gone(now, host, **incarnation)
-        });
-        if let_go.count() >= self.roster.prior_majority() {
-            self.established = Some(now);
-        }
-    }
-
-    /// Returns whether a process life can no longer answer anybody.
-    fn is_gone(&self, now: Instant, host: &str, incarnation: Incarnation) -> bool {
-        if host == &*self.settings.host {
-            return incarnation < self.settings.incarnation;
-        }
-        let peer = self.peers.get(host);
-        if peer.is_some_and(|peer| peer.incarnation > incarnation) {
-            return true;
-        }
-        let silent = !peer.is_some_and(|peer| peer.heard_within(now, self.settings.list_lag));
-        let absent = self.absent.get(host);
-        silent && absent.is_some_and(|since| now >= *since + self.settings.list_lag)
-    }
-
-    /// Moves the vote on each member where its silence or its return calls for it.
-    fn vote(&mut self, now: Instant) {
-        let wait = self.settings.fence + self.settings.drain;
-        let hung = self.is_hung();
-        let members: Vec<HostId> = self.roster.members.keys().cloned().collect();
-        for host in members.iter().filter(|host| **host != self.settings.host) {
-            let lost = self.is_majority_withdrawn(host);
-            let incarnation = self.roster.members[host].incarnation;
-            let Some(peer) = self.peers.get_mut(host) else { continue };
-            let same_life = peer.incarnation == incarnation;
-            let heard = same_life && peer.heard_within(now, self.settings.fence);
-            peer.vote = match peer.vote {
-                Vote::Support if !heard && now >= peer.supported + wait => Vote::Withdrawn,
-                Vote::Withdrawn if heard && (hung || !lost) => Vote::Returning(now + wait),
-                Vote::Returning(_) if !heard => Vote::Withdrawn,
-                Vote::Returning(at) if now >= at => {
-                    peer.supported = now;
-                    Vote::Support
-                }
-                vote => vote,
-            };
-        }
-    }
-
-    fn is_majority_withdrawn(&self, host: &str) -> bool {
-        let own = self.peers.get(host).is_some_and(|peer| peer.vote == Vote::Withdrawn);
-        let others = self.roster.members.keys().filter(|other| {
-            let peer = self.peers.get(*other);
-            peer.is_some_and(|p| p.epoch == self.roster.epoch && p.withdrawn.contains(host))
-        });
-        others.count() + usize::from(own) >= self.roster.majority()
-    }
-
-    /// Returns whether so many members have lost support that the cell could not work.
-    fn is_hung(&self) -> bool {
-        let members = self.roster.members.keys();
-        let alive = members.filter(|host| !self.is_majority_withdrawn(host)).count();
-        alive < self.roster.majority()
-    }
-
     fn address_of(&self, host: &str) -> Option<SocketAddr> {
         if let Some(entry) = self.peers.get(host).and_then(|peer| peer.entry.as_ref()) {
             return Some(entry.address);
@@ -499,69 +357,4 @@
             roster: behind.then(|| self.roster.clone()),
         }
     }
-
-    /// Proposes a roster when members have come, gone or been lost.
-    fn propose(&mut self, now: Instant) -> Option<Action> {
-        if !self.read_done || now < self.next_write {
-            return None;
-        }
-        let members = self.wanted(now);
-        if members == self.roster.members || members.is_empty() {
-            self.unlike_since = None;
-            return None;
-        }
-        let since = *self.unlike_since.get_or_insert(now);
-        if self.roster.epoch > 0 && (self.established.is_none() || !self.may_write(now)) {
-            return None;
-        }
-        // Hosts try one after the other, so that one write is usually enough.
-        let place = members.keys().position(|host| *host == self.settings.host);
-        let place = u32::try_from(place.unwrap_or(members.len())).unwrap_or(u32::MAX);
-        // A takeover inside the epoch is carried over; one that a write cut short would wait anew.
-        let lost = self.roster.members.keys().any(|host| self.is_majority_withdrawn(host));
-        let patience = if lost { TAKEOVER_BEATS } else { 0 };
-        let turn = since + self.settings.interval * patience + self.settings.interval * place / 4;
-        if now < turn {
-            return None;
-        }
-        self.next_write = now + self.settings.interval * 2;
-        Some(Action::WriteRoster(self.revision, self.roster.next(members)))
-    }
-
-    /// Returns the members that the roster should have, as seen from here.
-    fn wanted(&self, now: Instant) -> BTreeMap<HostId, Entry> {
-        let mut members = self.roster.members.clone();
-        members.retain(|host, entry| {
-            let left = self.peers.get(host).is_some_and(|peer| peer.leaving)
-                || (*host == self.settings.host && self.leaving);
-            let gone = self.is_gone(now, host, entry.incarnation);
-            !left && !gone && !self.is_majority_withdrawn(host)
-        });
-        for (host, peer) in &self.peers {
-            let Some(entry) = &peer.entry else { continue };
-            let present = peer.heard_within(now, self.settings.fence) && !peer.leaving;
-            if present && entry.incarnation == peer.incarnation {
-                let listed = self.roster.holds(host, peer.incarnation);
-                if !listed {
-                    members.insert(host.clone(), entry.clone());
-                }
-            }
-        }
-        if !self.leaving && !self.is_member() {
-            members.insert(self.settings.host.clone(), self.settings.entry.clone());
-        }
-        members
-    }
-
-    /// Returns whether a majority of the roster supports a change by this host or is gone.
-    fn may_write(&self, now: Instant) -> bool {
-        let votes = self.roster.members.iter().filter(|(host, entry)| {
-            if **host == self.settings.host && entry.incarnation == self.settings.incarnation {
-                return true;
-            }
-            let acked = self.acked(host, &|_| true).is_some_and(|until| until > now);
-            acked || self.is_gone(now, host, entry.incarnation)
-        });
-        votes.count() >= self.roster.majority()
-    }
 }
--- a/crates/member/tests/ownership.rs
+++ b/crates/member/tests/ownership.rs
@@ -62,6 +62,8 @@
     overlaps: u32,
     sent: u32,
     incarnation: u64,
+    /// Whether every beat arrives, and in time.
+    calm: bool,
 }
 
 fn address(host: usize) -> SocketAddr {
@@ -87,6 +89,7 @@
             overlaps: 0,
             sent: 0,
             incarnation: 1,
+            calm: false,
         };
         for host in 0..HOSTS {
             let node = cell.node(host);
@@ -184,12 +187,12 @@
     fn carry(&mut self, from: usize, to: SocketAddr, beat: &Beat) {
         let to = usize::from(to.port() - 7_000);
         let copies = match self.random(20) {
-            0 => 0,
-            1 => 2,
+            0 if !self.calm => 0,
+            1 if !self.calm => 2,
             _ => 1,
         };
         for _ in 0..copies {
-            let delay = if self.random(10) == 0 { self.random(40) } else { 1 };
+            let delay = if self.random(10) == 0 && !self.calm { self.random(40) } else { 1 };
             if !self.cuts.contains(&(from, to)) {
                 self.nodes[to].inbox.push((self.step + delay, beat.clone()));
             }
@@ -395,3 +398,49 @@
     assert!(!cell.nodes[1].member.is_member());
     assert!(cell.sent > 0);
 }
+
+#[test]
+fn ten_minute_store_outage_changes_no_owner() {
+    // Only the store is at fault here; lost and late beats have tests of their own.
+    let mut cell = run(13, true, &[Fault::Run(100)]);
+    cell.calm = true;
+    cell.apply(&Fault::Run(60));
+    cell.apply(&Fault::StoreDown(6_000));
+    let owner = |cell: &Cell, group: usize| {
+        let now = cell.now();
+        (0..HOSTS).find(|host| cell.nodes[*host].member.may_send(now, &cell.key[group]).is_some())
+    };
+    let before: Vec<_> = (0..cell.key.len()).map(|group| owner(&cell, group)).collect();
+    assert!(before.iter().all(Option::is_some));
+    for _ in 0..6_000 {
+        cell.advance();
+        let now: Vec<_> = (0..cell.key.len()).map(|group| owner(&cell, group)).collect();
+        assert_eq!(now, before, "step {}", cell.step);
+    }
+    let epoch = cell.nodes[0].member.roster().epoch;
+    cell.restart(4);
+    cell.apply(&Fault::Run(100));
+    assert!(cell.nodes[0].member.roster().epoch > epoch, "the roster moves on after the outage");
+}
+
+#[test]
+fn majority_lost_while_the_store_is_down_stops_work_and_its_return_restores_it() {
+    let mut cell = run(17, true, &[Fault::Run(100), Fault::StoreDown(400)]);
+    let live: BTreeSet<Box<str>> = ["e0".into(), "e1".into()].into();
+    for host in 2..HOSTS {
+        cell.nodes[host].asleep_until = u64::MAX;
+    }
+    for step in 0..700 {
+        let now = cell.now();
+        cell.nodes[0].member.on_list(now, &live);
+        cell.nodes[1].member.on_list(now, &live);
+        cell.advance();
+        if (100..300).contains(&step) {
+            assert_eq!(cell.owners(0), 0, "the frozen roster has no majority, step {step}");
+        }
+    }
+    for group in 0..cell.key.len() {
+        assert_eq!(cell.owners(group), 1, "group {group}");
+    }
+    assert_eq!(cell.overlaps, 0);
+}
--- a/crates/query/src/lib.rs
+++ b/crates/query/src/lib.rs
@@ -26,6 +26,7 @@
 //! # let _ = &mut plan;
 //! ```
 
+mod copies;
 mod outcome;
 mod plan;
 mod service;
--- a/crates/query/src/plan.rs
+++ b/crates/query/src/plan.rs
@@ -4,14 +4,11 @@
 use std::time::Instant;
 
 use crate::outcome::{Body, Outcome, PartOutcome, Reason};
-use crate::service::{Pin, Service, Shard, UpstreamId, Warmth};
+use crate::service::{Pin, Service, Shard, UpstreamId};
 
 /// Number of one part of one search.
 pub type PartId = u32;
 
-/// Share of the budget that warm-up copies leave to hedges.
-const COPY_RESERVE: f64 = 0.5;
-
 /// How a search goes to the shards.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Mode {
@@ -59,38 +56,38 @@
 }
 
 #[derive(Debug)]
-struct Part {
-    shard: Shard,
-    upstream: UpstreamId,
-    sent: Instant,
-    extra: bool,
+pub(crate) struct Part {
+    pub(crate) shard: Shard,
+    pub(crate) upstream: UpstreamId,
+    pub(crate) sent: Instant,
+    pub(crate) extra: bool,
 }
 
 #[derive(Debug, Default)]
-struct Slot {
-    tried: Vec<UpstreamId>,
-    live: Vec<PartId>,
-    body: Option<Body>,
-    hedged: bool,
-    closed: bool,
+pub(crate) struct Slot {
+    pub(crate) tried: Vec<UpstreamId>,
+    pub(crate) live: Vec<PartId>,
+    pub(crate) body: Option<Body>,
+    pub(crate) hedged: bool,
+    pub(crate) closed: bool,
 }
 
 /// One search.
 #[derive(Debug)]
 pub struct Plan {
-    request: Request,
-    pin: Option<Pin>,
-    slots: BTreeMap<Shard, Slot>,
-    parts: BTreeMap<PartId, Part>,
-    next_part: PartId,
-    restarted: bool,
-    moved: bool,
-    may_have_run: bool,
-    congested: bool,
-    reason: Reason,
-    finished: bool,
-    dropped: u32,
-    extra: u32,
+    pub(crate) request: Request,
+    pub(crate) pin: Option<Pin>,
+    pub(crate) slots: BTreeMap<Shard, Slot>,
+    pub(crate) parts: BTreeMap<PartId, Part>,
+    pub(crate) next_part: PartId,
+    pub(crate) restarted: bool,
+    pub(crate) moved: bool,
+    pub(crate) may_have_run: bool,
+    pub(crate) congested: bool,
+    pub(crate) reason: Reason,
+    pub(crate) finished: bool,
+    pub(crate) dropped: u32,
+    pub(crate) extra: u32,
 }
 
 impl Plan {
@@ -259,65 +256,6 @@
         }
     }
 
-    /// Sends a part to the best upstream left; returns whether there was one.
-    fn send(
-        &mut self,
-        service: &mut Service,
-        now: Instant,
-        shard: Shard,
-        extra: bool,
-        actions: &mut Vec<Action>,
-    ) -> bool {
-        let (Some(pin), Some(slot)) = (self.pin, self.slots.get(&shard)) else { return false };
-        let seed = self.request.seed;
-        let chosen = service.choose(now, pin, shard, &slot.tried, seed).cloned();
-        let Some(chosen) = chosen else { return false };
-        self.dispatch(service, now, shard, chosen.upstream, chosen.owner, extra, actions);
-        true
-    }
-
-    #[allow(clippy::too_many_arguments, reason = "one step of a send, called from two places")]
-    fn dispatch(
-        &mut self,
-        service: &mut Service,
-        now: Instant,
-        shard: Shard,
-        upstream: UpstreamId,
-        owner: Box<str>,
-        extra: bool,
-        actions: &mut Vec<Action>,
-    ) {
-        let (Some(pin), Some(slot)) = (self.pin, self.slots.get_mut(&shard)) else { return };
-        let part = self.next_part;
-        self.next_part += 1;
-        slot.tried.push(upstream.clone());
-        slot.live.push(part);
-        service.sent(&upstream);
-        self.extra += u32::from(extra);
-        self.parts.insert(part, Part { shard, upstream: upstream.clone(), sent: now, extra });
-        actions.push(Action::Send(Send { part, owner, upstream, shard, pin }));
-    }
-
-    /// Sends a copy of a fresh part to a cold upstream, which proves itself without delaying
-    /// anybody.
-    fn warm_up(
-        &mut self,
-        service: &mut Service,
-        now: Instant,
-        shard: Shard,
-        actions: &mut Vec<Action>,
-    ) {
-        let warming = service.policy.ramps && service.policy.hedges;
-        if !warming || self.request.mode != Mode::Search {
-            return;
-        }
-        let (Some(pin), Some(slot)) = (self.pin, self.slots.get(&shard)) else { return };
-        let Some(cold) = service.unproved(pin, shard, &slot.tried).cloned() else { return };
-        if service.budget.spend_above(COPY_RESERVE) {
-            self.dispatch(service, now, shard, cold.upstream, cold.owner, true, actions);
-        }
-    }
-
     fn answer(
         &mut self,
         service: &mut Service,
@@ -334,67 +272,6 @@
         }
     }
 
-    fn cancel(
-        &mut self,
-        service: &mut Service,
-        now: Instant,
-        id: PartId,
-        actions: &mut Vec<Action>,
-    ) {
-        let Some(part) = self.parts.remove(&id) else { return };
-        // The loser would have taken at least this long; a copy's slowness is expected.
-        let waited = now.saturating_duration_since(part.sent);
-        let latency = (!part.extra).then_some(waited);
-        service.ended(now, &part.upstream, latency);
-        actions.push(Action::Cancel(id));
-    }
-
-    /// Sends a failed part elsewhere, against the budget where it may have cost an upstream work.
-    fn resend(
-        &mut self,
-        service: &mut Service,
-        now: Instant,
-        part: &Part,
-        costs: bool,
-        actions: &mut Vec<Action>,
-    ) {
-        let Some(slot) = self.slots.get(&part.shard) else { return };
-        let needless = slot.closed || slot.body.is_some() || !slot.live.is_empty();
-        if needless || now >= self.request.deadline {
-            return;
-        }
-        let once = self.request.mode != Mode::Search;
-        if costs && (once || !service.budget.spend()) {
-            return;
-        }
-        self.send(service, now, part.shard, costs, actions);
-    }
-
-    fn hedge(&mut self, service: &mut Service, now: Instant, actions: &mut Vec<Action>) {
-        let delay = service.delay.get();
-        let late = |part: &Part| now >= part.sent + delay;
-        let due: Vec<Shard> = self
-            .slots
-            .iter()
-            .filter(|(_, slot)| !slot.hedged && !slot.closed && slot.body.is_none())
-            .filter(|(_, s)| s.live.iter().any(|id| self.parts.get(id).is_some_and(late)))
-            .map(|(shard, _)| *shard)
-            .collect();
-        for shard in due {
-            let Some(slot) = self.slots.get_mut(&shard) else { continue };
-            slot.hedged = true;
-            let pin = self.pin.unwrap_or(Pin { snapshot: 0, shards: 0 });
-            let other = service.choose(now, pin, shard, &slot.tried, self.request.seed);
-            // Without another replica, another slot and connection of the same one is left.
-            let other = other.or_else(|| service.choose(now, pin, shard, &[], self.request.seed));
-            let Some(other) = other.cloned() else { continue };
-            // A cold upstream is slower than most stragglers, and must be spared.
-            if other.warmth != Warmth::Cold && service.budget.spend() {
-                self.dispatch(service, now, shard, other.upstream, other.owner, true, actions);
-            }
-        }
-    }
-
     fn close_all(&mut self) {
         for slot in self.slots.values_mut() {
             slot.closed = true;
