--- a/crates/egress/src/feed.rs
+++ b/crates/egress/src/feed.rs
@@ -1,14 +1,14 @@
 //! How a host learns of configurations and of the list of hosts.
 //!
-//! Two hosts of each failure domain read the platform; the others follow one of those, so that
-//! calls to the platform grow with failure domains and not with hosts. A host outside the roster
-//! reads for itself, and asks its peers while the platform is away.
+//! Two hosts of each failure domain read the platform; the others follow them in a tree, so that
+//! calls to the platform grow with failure domains and not with hosts. A host that the list does
+//! not name goes by its roster instead, and asks its peers while the platform is away.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use member::Roster;
-use route::{Config, Edit, Follow, Hosts, Latest, Update};
+use route::{Config, Edit, Follow, Hosts, Latest, Update, branch};
 use store::{CONFIG_KEY, Client};
 use tokio::sync::{mpsc, watch};
 use tokio::task::spawn_local;
@@ -17,7 +17,7 @@
 use crate::settings::Settings;
 use crate::state::Event;
 
-/// Hosts of one failure domain that read the platform; two, so that one may fail.
+/// Members of one failure domain that read the platform while the list names none of them.
 const READERS: usize = 2;
 
 /// Time between two reads of the list of hosts.
@@ -58,10 +58,16 @@
         let readers: Vec<_> = near.take(READERS).collect();
         let own = |host: &str| *host == *settings.host;
         let is_member = roster.members.contains_key(&settings.host);
-        let reads = !is_member || readers.iter().any(|(host, _)| own(host));
+        let mut reads = !is_member || readers.iter().any(|(host, _)| own(host));
         let others = roster.members.iter().filter(|(host, _)| !own(host));
-        let mut sources: Vec<SocketAddr> =
-            readers.iter().filter(|(host, _)| !own(host)).map(|(_, entry)| entry.address).collect();
+        let branch = branch(hosts, &settings.domain, &settings.host).filter(|_| is_member);
+        let mut sources = Vec::new();
+        if let Some(branch) = branch {
+            reads = branch.reads;
+            sources = branch.sources;
+        }
+        sources
+            .extend(readers.iter().filter(|(host, _)| !own(host)).map(|(_, entry)| entry.address));
         sources.extend(others.map(|(_, entry)| entry.address));
         sources.extend(&settings.peers);
         let role =
--- a/crates/load/src/slope.rs
+++ b/crates/load/src/slope.rs
@@ -96,6 +96,15 @@
             egresses.push(egress::start(builder.build(), process.stop())?);
             processes.push(process.run());
         }
+        let listed = egresses.iter().enumerate().map(|(number, egress)| Host {
+            id: format!("host-{number}").into(),
+            kind: Kind::Entry,
+            address: egress.address,
+            domain: format!("d{}", number % 3).into(),
+            life: Life::Live,
+            place: None,
+        });
+        platform.list(listed);
         let fleet = Self { platform, egresses, _processes: processes };
         let start = Instant::now();
         while !fleet.is_settled() {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -14,6 +14,7 @@
 mod group;
 mod hosts;
 mod leave;
+mod tree;
 mod view;
 
 pub use crate::apply::{Apply, Change, Step, Verdict, Written};
@@ -22,4 +23,5 @@
 pub use crate::group::{GROUP_SHARDS, group};
 pub use crate::hosts::{Host, Hosts, Kind, Life, Place};
 pub use crate::leave::{Leave, Stage};
+pub use crate::tree::{Branch, branch};
 pub use crate::view::{Follow, Held, Report, Status, Update, View};
