Hedge beside a cold replica; take what is handed back as cold for cold

Cause 1: while a domain warms up, the other replica of its shards is cold, which ruled a hedge out altogether; now another slot of the warm one is used.

--- a/crates/limit/src/gate.rs
+++ b/crates/limit/src/gate.rs
@@ -194,6 +194,9 @@
     pub fn inherit(&mut self, warm: bool, busy: u32, until: Instant) {
         if warm {
             self.allowed = self.bound.slots;
+        } else {
+            // What was warm in an earlier tenure here may have restarted in another's.
+            self.chill();
         }
         self.held.extend(std::iter::repeat_n(until, busy as usize));
     }
--- a/crates/limit/tests/gate.rs
+++ b/crates/limit/tests/gate.rs
@@ -100,6 +100,14 @@
     assert_eq!(gate.offer(now, 2, now + MS * 100), Verdict::Wait);
 }
 
+#[test]
+fn upstream_handed_back_as_cold_is_cold_although_it_was_warm_here_before() {
+    let now = Instant::now();
+    let mut gate = warm(now);
+    gate.inherit(false, 0, now);
+    assert_eq!(gate.phase(now), Phase::Cold);
+}
+
 #[test]
 fn connections_given_up_count_for_a_while() {
     let now = Instant::now();
--- a/crates/query/src/copies.rs
+++ b/crates/query/src/copies.rs
@@ -118,12 +118,14 @@
             let Some(slot) = self.slots.get_mut(&shard) else { continue };
             slot.hedged = true;
             let pin = self.pin.unwrap_or(Pin { snapshot: 0, shards: 0 });
-            let other = service.choose(now, pin, shard, &slot.tried, self.request.seed);
-            // Without another replica, another slot and connection of the same one is left.
-            let other = other.or_else(|| service.choose(now, pin, shard, &[], self.request.seed));
-            let Some(other) = other.cloned() else { continue };
             // A cold upstream is slower than most stragglers, and must be spared.
-            if other.warmth != Warmth::Cold && service.budget.spend() {
+            let best = |tried: &[UpstreamId]| {
+                let best = service.choose(now, pin, shard, tried, self.request.seed);
+                best.filter(|candidate| candidate.warmth != Warmth::Cold).cloned()
+            };
+            // Without another replica, another slot and connection of the same one is left.
+            let Some(other) = best(&slot.tried).or_else(|| best(&[])) else { continue };
+            if service.budget.spend() {
                 self.dispatch(service, now, shard, other.upstream, other.owner, true, actions);
             }
         }
--- a/crates/query/tests/plan.rs
+++ b/crates/query/tests/plan.rs
@@ -120,6 +120,20 @@
     assert_eq!(plan.dropped(), 1);
 }
 
+#[test]
+fn straggler_beside_a_cold_replica_is_hedged_on_the_same_upstream() {
+    let now = Instant::now();
+    let mut service = Service::new(Policy::default());
+    let mut cold = candidate(0, 1, 1, 7);
+    cold.warmth = Warmth::Cold;
+    service.set_candidates(vec![candidate(0, 1, 0, 7), cold]);
+    let (mut plan, actions) = Plan::start(&mut service, search(now), now);
+    assert_eq!(&*sends(&actions)[0].upstream, "u0-0");
+    let due = plan.next_tick(&service);
+    let hedge = sends(&plan.tick(&mut service, due));
+    assert_eq!(hedge.iter().map(|send| &*send.upstream).collect::<Vec<_>>(), ["u0-0"]);
+}
+
 #[test]
 fn cold_upstream_gets_copies_and_no_callers_wait() {
     let now = Instant::now();
