--- a/crates/broker/src/once.rs
+++ b/crates/broker/src/once.rs
@@ -1,9 +1,11 @@
 //! The claim of a request that must run at most once.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use member::score;
+use tokio::sync::watch;
 use wire::Node;
 use wire::node_capnp::Verdict;
 use wire::node_capnp::node::claim_results;
@@ -17,7 +19,7 @@
 /// Egresses that are asked for one claim, when the first is not the owner any more.
 const MOST_ASKED: usize = 4;
 
-/// Pause before the ranking is asked once more, as around a change of owner.
+/// Pause before the egresses are asked once more, as around a change of owner.
 const PAUSE: Duration = Duration::from_millis(30);
 
 /// What came of a claim.
@@ -36,11 +38,19 @@
 ///
 /// A claim whose answer is lost may stand; the request is then not run by this attempt, and a
 /// resend of its id is answered as unknown.
-pub(crate) async fn claim(nodes: &Nodes, scene: &Scene, id: &str, until: Instant) -> Claim {
+pub(crate) async fn claim(
+    nodes: &Nodes,
+    scene: &watch::Receiver<Arc<Scene>>,
+    id: &str,
+    until: Instant,
+) -> Claim {
     let bucket = format!("once/{}", score(id, "bucket") % BUCKETS);
-    let mut ranked: Vec<_> = scene.egresses.iter().collect();
-    ranked.sort_by_key(|(host, _)| std::cmp::Reverse(score(&bucket, host)));
-    for _ in 0..2 {
+    // The other half of the time is the run's.
+    let give_up = Instant::now() + until.saturating_duration_since(Instant::now()) / 2;
+    loop {
+        let scene = scene.borrow().clone();
+        let mut ranked: Vec<_> = scene.egresses.iter().collect();
+        ranked.sort_by_key(|(host, _)| std::cmp::Reverse(score(&bucket, host)));
         for (_, address) in ranked.iter().take(MOST_ASKED) {
             let Some(node) = nodes.get(&address.to_string()) else { continue };
             let mut call = node.client.claim_request();
@@ -58,9 +68,11 @@
                 _ => return Claim::Unknown,
             }
         }
+        if Instant::now() + PAUSE >= give_up {
+            return Claim::Refused;
+        }
         tokio::time::sleep(PAUSE).await;
     }
-    Claim::Refused
 }
 
 /// Takes a grant back, since the request has provably not run.
