--- a/crates/broker/src/control.rs
+++ b/crates/broker/src/control.rs
@@ -131,7 +131,7 @@
         brokers.push(own);
         let scene = Scene {
             config: self.latest.config().clone(),
-            rules: self.scene.borrow().rules.clone(),
+            rules: rules.clone(),
             epoch: view.epoch,
             egresses: view.egresses.into_iter().collect(),
             brokers,
@@ -143,12 +143,9 @@
         if scene.stage != old.stage {
             log::info!("this broker is now {:?}", scene.stage);
         }
-        let rules = if scene.config.revision == old.config.revision {
-            old.rules.clone()
-        } else {
+        if scene.config.revision != old.config.revision {
             log::info!("configuration {} is in force", scene.config.revision);
-            Arc::new(rules.clone())
-        };
+        }
         self.metrics.config.set(i64::try_from(scene.config.revision).unwrap_or(i64::MAX));
         let same = scene.config.revision == old.config.revision
             && scene.candidates == old.candidates
@@ -157,7 +154,7 @@
             && scene.egresses == old.egresses
             && scene.stage == old.stage;
         if !same {
-            self.scene.send_replace(Arc::new(Scene { rules, ..scene }));
+            self.scene.send_replace(Arc::new(scene));
         }
         stage
     }
--- a/crates/broker/src/once.rs
+++ b/crates/broker/src/once.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use member::score;
+use route::bucket;
 use tokio::sync::watch;
 use wire::Node;
 use wire::node_capnp::Verdict;
@@ -13,9 +14,6 @@
 use crate::nodes::Nodes;
 use crate::scene::Scene;
 
-/// Buckets of the ledgers; the egresses use the same number.
-const BUCKETS: u64 = 16;
-
 /// Egresses that are asked for one claim, when the first is not the owner any more.
 const MOST_ASKED: usize = 4;
 
@@ -44,7 +42,7 @@
     id: &str,
     until: Instant,
 ) -> Claim {
-    let bucket = format!("once/{}", score(id, "bucket") % BUCKETS);
+    let bucket = bucket(id).name;
     // The other half of the time is the run's.
     let give_up = Instant::now() + until.saturating_duration_since(Instant::now()) / 2;
     loop {
--- a/crates/broker/src/scene.rs
+++ b/crates/broker/src/scene.rs
@@ -12,7 +12,7 @@
 #[derive(Clone, Debug)]
 pub struct Scene {
     /// Configuration in force.
-    pub config: Config,
+    pub config: Arc<Config>,
     /// Rules of that configuration.
     pub rules: Arc<Rules>,
     /// Epoch of the newest roster seen.
@@ -32,7 +32,7 @@
 impl Default for Scene {
     fn default() -> Self {
         Self {
-            config: Config::default(),
+            config: Arc::default(),
             rules: Arc::default(),
             epoch: 0,
             egresses: BTreeMap::new(),
--- a/crates/broker/src/search.rs
+++ b/crates/broker/src/search.rs
@@ -211,7 +211,6 @@
         batch.set_operation(&*self.request.operation);
         batch.set_body(&self.request.query);
         batch.set_snapshot(sends[0].pin.snapshot);
-        batch.set_shards(sends[0].pin.shards);
         batch.set_budget_micros(left.as_micros() as u64);
         batch.set_traceparent(&*self.request.trace);
         let mut parts = batch.init_parts(sends.len() as u32);
@@ -219,7 +218,6 @@
             let mut part = parts.reborrow().get(place as u32);
             part.set_part(send.part);
             part.set_upstream(&*send.upstream);
-            part.set_shard(send.shard);
         }
     }
 
--- a/crates/egress/src/control.rs
+++ b/crates/egress/src/control.rs
@@ -8,8 +8,7 @@
 
 use kernel::Stop;
 use member::{Action, Key, Member, Roster, Tenures};
-use route::{Held, Hosts, Kind, Latest, Life, group};
-use rules::Rules;
+use route::{Held, Hosts, Kind, Latest, Life, buckets, group};
 use store::{Client, Swap, roster_key};
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch};
@@ -26,23 +25,9 @@
 /// Longest time that a stopping host waits to be taken out of the roster.
 const LEAVE_TIME: Duration = Duration::from_secs(6);
 
-/// Buckets of the at-most-once ledgers, each owned like a group of upstreams.
-pub(crate) const BUCKETS: u64 = 16;
-
 /// Largest datagram; a beat with a whole roster fits.
 const MAX_DATAGRAM: usize = 16 * 1024;
 
-/// Returns the group of the ledger that holds a request's id.
-pub(crate) fn bucket(id: &str) -> Key {
-    let number = member::score(id, "bucket") % BUCKETS;
-    Key { domain: "".into(), name: format!("once/{number}").into() }
-}
-
-/// Returns whether a group is the bucket of a ledger.
-pub(crate) fn is_bucket(key: &Key) -> bool {
-    key.domain.is_empty()
-}
-
 /// What the control thread needs from its surroundings.
 pub(crate) struct Wiring {
     pub(crate) udp: std::net::UdpSocket,
@@ -57,7 +42,6 @@
     settings: Settings,
     member: Member,
     latest: Latest,
-    rules: Arc<Rules>,
     hosts: Arc<Hosts>,
     targets: Arc<BTreeMap<Box<str>, Target>>,
     grants: BTreeMap<Key, Grant>,
@@ -90,7 +74,6 @@
         settings,
         member,
         latest: Latest::default(),
-        rules: Arc::default(),
         hosts: Arc::default(),
         targets: Arc::default(),
         grants: BTreeMap::new(),
@@ -169,7 +152,6 @@
         match self.latest.advance(config) {
             Ok(true) => {
                 log::info!("configuration {revision} is in force");
-                self.rules = Arc::new(self.latest.rules().clone());
                 self.member.set_config(revision);
                 self.metrics.config.set(i64::try_from(revision).unwrap_or(i64::MAX));
                 self.set_targets();
@@ -182,7 +164,7 @@
 
     /// Leaves the roster while operators have this host's failure domain out.
     fn set_presence(&mut self) {
-        let rule = self.rules.domains.get(&self.settings.domain);
+        let rule = self.latest.rules().domains.get(&self.settings.domain);
         if rule.is_some_and(|rule| rule.out) {
             self.member.leave();
         } else {
@@ -202,9 +184,7 @@
 
     fn set_targets(&mut self) {
         let mut targets = BTreeMap::new();
-        let mut keys: BTreeSet<Key> = (0..BUCKETS)
-            .map(|n| Key { domain: "".into(), name: format!("once/{n}").into() })
-            .collect();
+        let mut keys: BTreeSet<Key> = buckets().collect();
         for host in &self.hosts.hosts {
             let Some(place) = &host.place else { continue };
             let key = group(&place.service, &host.domain, &host.id);
@@ -215,7 +195,7 @@
                 address: host.address,
                 shard: place.shard,
                 shards: place.shards,
-                closed: host.life == Life::Leaving || !self.rules.takes_work(&host.domain),
+                closed: host.life == Life::Leaving || !self.latest.rules().takes_work(&host.domain),
                 key,
             };
             targets.insert(host.id.clone(), target);
@@ -317,7 +297,7 @@
         });
         self.control.send_replace(Arc::new(Control {
             config: self.latest.config().clone(),
-            rules: self.rules.clone(),
+            rules: self.latest.rules().clone(),
             epoch: roster.epoch,
             egresses,
             held: self.held.values().cloned().collect(),
--- a/crates/egress/src/handover.rs
+++ b/crates/egress/src/handover.rs
@@ -6,9 +6,9 @@
 use limit::Phase;
 use member::Key;
 use once::{Ledger, Verdict};
+use route::{bucket, is_bucket};
 use tokio::task::spawn_local;
 
-use crate::control::{bucket, is_bucket};
 use crate::state::{Command, Control, Event, Handover, Release};
 use crate::traffic::Traffic;
 
--- a/crates/egress/src/part.rs
+++ b/crates/egress/src/part.rs
@@ -37,12 +37,6 @@
     pub(crate) deadline: Instant,
 }
 
-/// Tells a part that its answer is no longer wanted.
-#[derive(Default)]
-pub(crate) struct Cancel {
-    pub(crate) notify: Notify,
-}
-
 fn not_run(reason: &str) -> PartOutcome {
     PartOutcome::NotRun(reason.into())
 }
@@ -68,7 +62,7 @@
     traffic: Rc<Traffic>,
     batch: Rc<Batch>,
     upstream: Box<str>,
-    cancel: Rc<Cancel>,
+    cancel: Rc<Notify>,
 ) -> PartOutcome {
     let outcome = run_inner(&traffic, &batch, &upstream, &cancel).await;
     match &outcome {
@@ -83,7 +77,7 @@
     traffic: &Rc<Traffic>,
     batch: &Batch,
     upstream: &str,
-    cancel: &Cancel,
+    cancel: &Notify,
 ) -> PartOutcome {
     let Some(owned) = traffic.owned(upstream) else { return not_run("upstream not owned here") };
     if !wait_for_fence(traffic, &owned, batch.deadline).await {
@@ -96,7 +90,7 @@
         Offer::Wait(receiver) => {
             let started = tokio::select! {
                 go = receiver => go == Ok(true),
-                () = cancel.notify.notified() => {
+                () = cancel.notified() => {
                     if !owned.withdraw(ticket) {
                         owned.done(Instant::now(), ticket, Sign::Ended);
                     }
@@ -131,7 +125,7 @@
     batch: &Batch,
     owned: &Owned,
     ticket: u64,
-    cancel: &Cancel,
+    cancel: &Notify,
 ) -> PartOutcome {
     // A second try is only for a kept connection that had closed before the request was written.
     for _ in 0..2 {
@@ -200,7 +194,7 @@
     batch: &Batch,
     owned: &Owned,
     mut connection: Connection,
-    cancel: &Cancel,
+    cancel: &Notify,
 ) -> End {
     let sent = Instant::now();
     let result = {
@@ -223,7 +217,7 @@
                     owned.drop_idle(Instant::now());
                     return End::Silent;
                 }
-                () = cancel.notify.notified(), if !cancelled => {
+                () = cancel.notified(), if !cancelled => {
                     cancelled = true;
                     until = until.min(Instant::now() + CANCEL_TIME);
                     let _ = owned.cancels.send(batch.request.clone());
--- a/crates/egress/src/report.rs
+++ b/crates/egress/src/report.rs
@@ -98,7 +98,7 @@
         Update {
             view: (wants_state && view.version != known.view).then(|| view.clone()),
             report: (wants_state && report.version != known.report).then(|| report.clone()),
-            config: (control.config.revision > known.config).then(|| control.config.clone()),
+            config: (control.config.revision > known.config).then(|| (*control.config).clone()),
             hosts: newer_hosts.then(|| (*control.hosts).clone()),
         }
     }
--- a/crates/egress/src/state.rs
+++ b/crates/egress/src/state.rs
@@ -42,7 +42,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Control {
     /// Configuration in force.
-    pub config: Config,
+    pub config: Arc<Config>,
     /// Rules of that configuration.
     pub rules: Arc<Rules>,
     /// Epoch of the adopted roster.
--- a/crates/egress/src/traffic.rs
+++ b/crates/egress/src/traffic.rs
@@ -14,7 +14,6 @@
 
 use crate::metrics::Metrics;
 use crate::owned::Owned;
-use crate::part::Cancel;
 use crate::state::{Command, Control, Event, Handover};
 
 /// Time between two looks at waiting parts and at the report.
@@ -33,7 +32,7 @@
     pub(crate) handovers: RefCell<BTreeMap<Box<str>, (Epoch, Handover)>>,
     pub(crate) inherited: RefCell<BTreeMap<Key, (Epoch, Ledger)>>,
     pub(crate) ledgers: RefCell<BTreeMap<Key, (SystemTime, Ledger)>>,
-    pub(crate) cancels: RefCell<BTreeMap<(u64, u32), Rc<Cancel>>>,
+    pub(crate) cancels: RefCell<BTreeMap<(u64, u32), Rc<Notify>>>,
     pub(crate) report: RefCell<Report>,
     pub(crate) view: RefCell<View>,
     pub(crate) brokers: RefCell<BTreeMap<Box<str>, (Instant, Presence)>>,
@@ -107,9 +106,9 @@
         self.running.get()
     }
 
-    pub(crate) fn begin(&self, query: u64, part: u32) -> Rc<Cancel> {
+    pub(crate) fn begin(&self, query: u64, part: u32) -> Rc<Notify> {
         self.running.set(self.running.get() + 1);
-        let cancel = Rc::new(Cancel::default());
+        let cancel = Rc::new(Notify::new());
         self.cancels.borrow_mut().insert((query, part), cancel.clone());
         cancel
     }
@@ -121,7 +120,7 @@
 
     pub(crate) fn cancel(&self, query: u64, part: u32) {
         if let Some(cancel) = self.cancels.borrow().get(&(query, part)) {
-            cancel.notify.notify_one();
+            cancel.notify_one();
         }
     }
 
--- a/crates/limit/src/conns.rs
+++ b/crates/limit/src/conns.rs
@@ -28,8 +28,7 @@
     /// Reserves a connection; returns whether one may be opened now.
     pub fn try_open(&mut self, now: Instant) -> bool {
         self.lingering.retain(|until| *until > now);
-        let lingering = u32::try_from(self.lingering.len()).unwrap_or(u32::MAX);
-        if self.open + self.opening + lingering >= self.most {
+        if self.count() >= self.most {
             return false;
         }
         self.opening += 1;
@@ -54,7 +53,7 @@
     }
 
     /// Returns the number of connections that the upstream may count.
-    pub fn count(&self) -> u32 {
+    fn count(&self) -> u32 {
         self.open + self.opening + u32::try_from(self.lingering.len()).unwrap_or(u32::MAX)
     }
 }
--- a/crates/query/src/plan.rs
+++ b/crates/query/src/plan.rs
@@ -115,11 +115,6 @@
         (plan, actions)
     }
 
-    /// Returns whether [`Action::Finish`] has been given.
-    pub fn is_finished(&self) -> bool {
-        self.finished
-    }
-
     /// Returns whether an owner refused a part for want of a slot.
     pub fn is_congested(&self) -> bool {
         self.congested
--- a/crates/query/src/service.rs
+++ b/crates/query/src/service.rs
@@ -142,11 +142,6 @@
         self.candidates.values()
     }
 
-    /// Returns the delay after which a part is hedged.
-    pub fn hedge_delay(&self) -> Duration {
-        self.delay.get()
-    }
-
     /// Chooses the snapshot of a new search: the one that covers the largest part of its map,
     /// and of those the newest.
     pub(crate) fn pin(&self) -> Option<Pin> {
--- a/crates/route/src/config.rs
+++ b/crates/route/src/config.rs
@@ -1,6 +1,7 @@
 //! The order of configurations: by the KV's revision, and only forward.
 
 use std::collections::VecDeque;
+use std::sync::Arc;
 
 use rules::Rules;
 use serde::{Deserialize, Serialize};
@@ -57,8 +58,8 @@
 /// The newest configuration known here; it only moves forward.
 #[derive(Clone, Debug, Default)]
 pub struct Latest {
-    config: Config,
-    rules: Rules,
+    config: Arc<Config>,
+    rules: Arc<Rules>,
     refused: Option<Revision>,
 }
 
@@ -77,8 +78,8 @@
         }
         match rules::parse("configuration", &config.edit.text) {
             Ok(rules) => {
-                self.rules = rules;
-                self.config = config;
+                self.rules = Arc::new(rules);
+                self.config = Arc::new(config);
                 Ok(true)
             }
             Err(error) => {
@@ -89,12 +90,12 @@
     }
 
     /// Returns the configuration in force.
-    pub fn config(&self) -> &Config {
+    pub fn config(&self) -> &Arc<Config> {
         &self.config
     }
 
     /// Returns the rules in force.
-    pub fn rules(&self) -> &Rules {
+    pub fn rules(&self) -> &Arc<Rules> {
         &self.rules
     }
 }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -9,6 +9,7 @@
 //! ```
 
 mod apply;
+mod bucket;
 mod config;
 mod directory;
 mod group;
@@ -18,6 +19,7 @@
 mod view;
 
 pub use crate::apply::{Apply, Change, Step, Verdict, Written};
+pub use crate::bucket::{bucket, buckets, is_bucket};
 pub use crate::config::{Config, Edit, EditId, Latest, Revision};
 pub use crate::directory::{ENTRY_LIFETIME, Presence, entries};
 pub use crate::group::{GROUPS, group};
--- a/crates/wire/schema/node.capnp
+++ b/crates/wire/schema/node.capnp
@@ -4,7 +4,6 @@
 struct Part {
   part @0 :UInt32;
   upstream @1 :Text;
-  shard @2 :UInt32;
 }
 
 struct Batch {
@@ -14,10 +13,9 @@
   operation @3 :Text;
   body @4 :Data;
   snapshot @5 :UInt64;
-  shards @6 :UInt32;
-  budgetMicros @7 :UInt64;
-  traceparent @8 :Text;
-  parts @9 :List(Part);
+  budgetMicros @6 :UInt64;
+  traceparent @7 :Text;
+  parts @8 :List(Part);
 }
 
 struct Answer {
@@ -28,7 +26,6 @@
   shard @4 :UInt32;
   shards @5 :UInt32;
   body @6 :Data;
-  micros @7 :UInt64;
 }
 
 enum Outcome {
@@ -45,8 +42,8 @@
   search @0 (batch :Batch, sink :Sink) -> ();
   cancel @1 (query :UInt64, parts :List(UInt32)) -> ();
   follow @2 (known :Data) -> (update :Data);
-  claim @3 (service :Text, requestId :Text) -> (verdict :Verdict);
-  notRun @4 (service :Text, requestId :Text) -> ();
+  claim @3 (requestId :Text) -> (verdict :Verdict);
+  notRun @4 (requestId :Text) -> ();
   release @5 (body :Data) -> ();
 }
 
--- a/crates/wire/src/node_capnp.rs
+++ b/crates/wire/src/node_capnp.rs
@@ -78,10 +78,6 @@
         pub fn has_upstream(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
-        #[inline]
-        pub fn get_shard(self) -> u32 {
-            self.reader.get_data_field::<u32>(1)
-        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -160,14 +156,6 @@
         pub fn has_upstream(&self) -> bool {
             !self.builder.is_pointer_field_null(0)
         }
-        #[inline]
-        pub fn get_shard(self) -> u32 {
-            self.builder.get_data_field::<u32>(1)
-        }
-        #[inline]
-        pub fn set_shard(&mut self, value: u32)  {
-            self.builder.set_data_field::<u32>(1, value);
-        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -179,7 +167,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 62] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(81, 13, 200, 48, 107, 140, 213, 171),
             ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
@@ -189,34 +177,27 @@
             ::capnp::word(21, 0, 0, 0, 130, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 119, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(110, 111, 100, 101, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 80, 97, 114, 116, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 0, 0, 0, 74, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(112, 97, 114, 116, 0, 0, 0, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -234,20 +215,11 @@
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(115, 104, 97, 114, 100, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -261,9 +233,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
         pub(crate) const TYPE_ID: u64 = 0xabd5_8c6b_30c8_0d51;
     }
 }
@@ -370,12 +342,8 @@
             self.reader.get_data_field::<u64>(1)
         }
         #[inline]
-        pub fn get_shards(self) -> u32 {
-            self.reader.get_data_field::<u32>(4)
-        }
-        #[inline]
         pub fn get_budget_micros(self) -> u64 {
-            self.reader.get_data_field::<u64>(3)
+            self.reader.get_data_field::<u64>(2)
         }
         #[inline]
         pub fn get_traceparent(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
@@ -397,7 +365,7 @@
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 6 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 6 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -528,20 +496,12 @@
             self.builder.set_data_field::<u64>(1, value);
         }
         #[inline]
-        pub fn get_shards(self) -> u32 {
-            self.builder.get_data_field::<u32>(4)
-        }
-        #[inline]
-        pub fn set_shards(&mut self, value: u32)  {
-            self.builder.set_data_field::<u32>(4, value);
-        }
-        #[inline]
         pub fn get_budget_micros(self) -> u64 {
-            self.builder.get_data_field::<u64>(3)
+            self.builder.get_data_field::<u64>(2)
         }
         #[inline]
         pub fn set_budget_micros(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(3, value);
+            self.builder.set_data_field::<u64>(2, value);
         }
         #[inline]
         pub fn get_traceparent(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
@@ -586,94 +546,87 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 176] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 161] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(223, 58, 154, 242, 237, 119, 175, 166),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(99, 42, 126, 75, 169, 240, 193, 213),
             ::capnp::word(6, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 55, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(110, 111, 100, 101, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 66, 97, 116, 99, 104),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(249, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(253, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(5, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(6, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(17, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(25, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(57, 1, 0, 0, 98, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(9, 0, 0, 0, 5, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+            ::capnp::word(33, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 1, 0, 0, 50, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(113, 117, 101, 114, 121, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -725,14 +678,6 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(115, 104, 97, 114, 100, 115, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(98, 117, 100, 103, 101, 116, 77, 105),
             ::capnp::word(99, 114, 111, 115, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -772,10 +717,9 @@
                 3 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 4 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                6 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                7 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                8 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                9 => <::capnp::struct_list::Owned<crate::node_capnp::part::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                6 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                7 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                8 => <::capnp::struct_list::Owned<crate::node_capnp::part::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -789,9 +733,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,7,3,9,0,1,2,6,5,8];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,6,3,8,0,1,2,5,7];
         pub(crate) const TYPE_ID: u64 = 0xa6af_77ed_f29a_3adf;
     }
 }
@@ -893,15 +837,11 @@
         pub fn has_body(&self) -> bool {
             !self.reader.get_pointer_field(1).is_null()
         }
-        #[inline]
-        pub fn get_micros(self) -> u64 {
-            self.reader.get_data_field::<u64>(3)
-        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 2 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 2 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1023,14 +963,6 @@
         pub fn has_body(&self) -> bool {
             !self.builder.is_pointer_field_null(1)
         }
-        #[inline]
-        pub fn get_micros(self) -> u64 {
-            self.builder.get_data_field::<u64>(3)
-        }
-        #[inline]
-        pub fn set_micros(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(3, value);
-        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1042,80 +974,73 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 138] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 123] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(101, 153, 147, 222, 213, 76, 8, 146),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(99, 42, 126, 75, 169, 240, 193, 213),
             ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(110, 111, 100, 101, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 65, 110, 115, 119, 101),
             ::capnp::word(114, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(185, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(189, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(221, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(193, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(229, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(201, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(205, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 42, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(112, 97, 114, 116, 0, 0, 0, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1173,14 +1098,6 @@
             ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 105, 99, 114, 111, 115, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1191,7 +1108,6 @@
                 4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 5 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 6 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
-                7 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1205,9 +1121,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[6,7,1,0,2,4,5,3];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[6,1,0,2,4,5,3];
         pub(crate) const TYPE_ID: u64 = 0x9208_4cd5_de93_9965;
     }
 }
@@ -3181,26 +3097,18 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_service(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn has_service(&self) -> bool {
-                !self.reader.get_pointer_field(0).is_null()
-            }
-            #[inline]
             pub fn get_request_id(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
             pub fn has_request_id(&self) -> bool {
-                !self.reader.get_pointer_field(1).is_null()
+                !self.reader.get_pointer_field(0).is_null()
             }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3251,36 +3159,20 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_service(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn set_service(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
-            }
-            #[inline]
-            pub fn init_service(self, size: u32) -> ::capnp::text::Builder<'a> {
-                self.builder.get_pointer_field(0).init_text(size)
-            }
-            #[inline]
-            pub fn has_service(&self) -> bool {
-                !self.builder.is_pointer_field_null(0)
-            }
-            #[inline]
             pub fn get_request_id(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
             pub fn set_request_id(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
             }
             #[inline]
             pub fn init_request_id(self, size: u32) -> ::capnp::text::Builder<'a> {
-                self.builder.get_pointer_field(1).init_text(size)
+                self.builder.get_pointer_field(0).init_text(size)
             }
             #[inline]
             pub fn has_request_id(&self) -> bool {
-                !self.builder.is_pointer_field_null(1)
+                !self.builder.is_pointer_field_null(0)
             }
         }
 
@@ -3293,46 +3185,31 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(45, 219, 222, 192, 41, 107, 43, 198),
                 ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(110, 111, 100, 101, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 78, 111, 100, 101, 46),
                 ::capnp::word(99, 108, 97, 105, 109, 36, 80, 97),
                 ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 82, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
-                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 82, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(24, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(114, 101, 113, 117, 101, 115, 116, 73),
                 ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
@@ -3346,7 +3223,6 @@
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -3360,9 +3236,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
             pub(crate) const TYPE_ID: u64 = 0xc62b_6b29_c0de_db2d;
         }
     }
@@ -3624,26 +3500,18 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_service(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn has_service(&self) -> bool {
-                !self.reader.get_pointer_field(0).is_null()
-            }
-            #[inline]
             pub fn get_request_id(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
             pub fn has_request_id(&self) -> bool {
-                !self.reader.get_pointer_field(1).is_null()
+                !self.reader.get_pointer_field(0).is_null()
             }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3694,36 +3562,20 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_service(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn set_service(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
-            }
-            #[inline]
-            pub fn init_service(self, size: u32) -> ::capnp::text::Builder<'a> {
-                self.builder.get_pointer_field(0).init_text(size)
-            }
-            #[inline]
-            pub fn has_service(&self) -> bool {
-                !self.builder.is_pointer_field_null(0)
-            }
-            #[inline]
             pub fn get_request_id(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
             pub fn set_request_id(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
             }
             #[inline]
             pub fn init_request_id(self, size: u32) -> ::capnp::text::Builder<'a> {
-                self.builder.get_pointer_field(1).init_text(size)
+                self.builder.get_pointer_field(0).init_text(size)
             }
             #[inline]
             pub fn has_request_id(&self) -> bool {
-                !self.builder.is_pointer_field_null(1)
+                !self.builder.is_pointer_field_null(0)
             }
         }
 
@@ -3736,46 +3588,31 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(64, 145, 237, 248, 131, 130, 31, 237),
                 ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(110, 111, 100, 101, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 78, 111, 100, 101, 46),
                 ::capnp::word(110, 111, 116, 82, 117, 110, 36, 80),
                 ::capnp::word(97, 114, 97, 109, 115, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 82, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
-                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 82, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(24, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(114, 101, 113, 117, 101, 115, 116, 73),
                 ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
@@ -3789,7 +3626,6 @@
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -3803,9 +3639,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
             pub(crate) const TYPE_ID: u64 = 0xed1f_8283_f8ed_9140;
         }
     }
