Add the platform adapter and one process a host

The users' platform has a store with keys, leases and watches, upstreams that name themselves there, and callers that ask for addresses. Ruled out: two processes a host (memory and machines are paid for, and a hop between them costs processor time); a host set aside for control; every host watching the store (one a failure domain does, the others follow it).

--- /dev/null
+++ b/crates/feed/src/source.rs
@@ -0,0 +1,110 @@
+//! Where a host reads the store's entries.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// First time for which a source that failed is left alone.
+const FIRST_PENALTY: Duration = Duration::from_millis(400);
+
+/// Longest such time. The store may be away for long, and each call to it is paid for.
+const MOST_PENALTY: Duration = Duration::from_millis(3_200);
+
+/// A host that can be followed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peer {
+    /// Its name.
+    pub name: Box<str>,
+    /// Its failure domain.
+    pub domain: Box<str>,
+    /// Where it answers followers.
+    pub address: SocketAddr,
+}
+
+/// Where to read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Source {
+    /// The store itself.
+    Store,
+    /// Another host, at its address for peers.
+    Peer(SocketAddr),
+}
+
+/// Chooses the source and remembers which ones failed.
+///
+/// The first host of a failure domain, by name, watches the store and the others follow the first
+/// one that answers. A host whose way to the store is cut follows any host that still hears it.
+#[derive(Debug)]
+pub struct Sources {
+    own: Peer,
+    seeds: Vec<SocketAddr>,
+    failed: BTreeMap<Source, Failure>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Failure {
+    until: Instant,
+    penalty: Duration,
+}
+
+impl Sources {
+    /// Creates the choice of the host `own`, with addresses to try before any host is known.
+    pub fn new(own: Peer, seeds: Vec<SocketAddr>) -> Self {
+        Self { own, seeds, failed: BTreeMap::new() }
+    }
+
+    /// Returns the best source that is not being left alone, and otherwise the time to wait.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time at which the first source may be tried again if none may be now.
+    pub fn choose(&self, now: Instant, peers: &[Peer]) -> Result<Source, Instant> {
+        let order = self.order(peers);
+        let free = |source: &&Source| self.blocked_until(**source).is_none_or(|at| at <= now);
+        match order.iter().find(free) {
+            Some(source) => Ok(*source),
+            None => Err(order.iter().filter_map(|source| self.blocked_until(*source)).min())
+                .map_err(|at| at.unwrap_or(now)),
+        }
+    }
+
+    /// Notes that a source failed or had old news only; `draw` in 0..1 spreads the hosts' retries.
+    pub fn failed(&mut self, now: Instant, source: Source, draw: f64) {
+        let doubled = |failure: &Failure| (failure.penalty * 2).min(MOST_PENALTY);
+        let penalty = self.failed.get(&source).map_or(FIRST_PENALTY, doubled);
+        let until = now + penalty.mul_f64(0.75 + 0.5 * draw);
+        self.failed.insert(source, Failure { until, penalty });
+    }
+
+    /// Notes that a source had fresh news.
+    pub fn worked(&mut self, source: Source) {
+        self.failed.remove(&source);
+    }
+
+    fn blocked_until(&self, source: Source) -> Option<Instant> {
+        self.failed.get(&source).map(|failure| failure.until)
+    }
+
+    /// Orders the sources: earlier hosts of the own failure domain, the store, and then all others.
+    fn order(&self, peers: &[Peer]) -> Vec<Source> {
+        let others = || peers.iter().filter(|peer| peer.name != self.own.name);
+        let near = |peer: &&Peer| peer.domain == self.own.domain;
+        let earlier = |peer: &&Peer| near(peer) && peer.name < self.own.name;
+        let mut first: Vec<&Peer> = others().filter(earlier).collect();
+        first.sort_by(|a, b| a.name.cmp(&b.name));
+        let mut rest: Vec<&Peer> = others().filter(|peer| !earlier(peer)).collect();
+        rest.sort_by_key(|peer| (!near(peer), &peer.name));
+        let peer = |peer: &Peer| Source::Peer(peer.address);
+        let mut order: Vec<Source> = first.into_iter().map(peer).collect();
+        order.push(Source::Store);
+        order.extend(rest.into_iter().map(peer));
+        let own = self.own.address;
+        let seeds = self.seeds.iter().filter(|seed| **seed != own).map(|seed| Source::Peer(*seed));
+        for seed in seeds {
+            if !order.contains(&seed) {
+                order.push(seed);
+            }
+        }
+        order
+    }
+}
--- a/crates/hedge/src/delay.rs
+++ b/crates/hedge/src/delay.rs
@@ -32,27 +32,85 @@
     before: Histogram<u32>,
     turned: Option<Instant>,
     delay: Duration,
+    settings: DelayBuilder,
 }
 
-impl Default for Delay {
+/// Settings of a [`Delay`].
+#[derive(Clone, Copy, Debug)]
+pub struct DelayBuilder {
+    quantile: f64,
+    window: Duration,
+    enough: u64,
+    first: Duration,
+}
+
+impl Default for DelayBuilder {
     fn default() -> Self {
+        Self { quantile: QUANTILE, window: WINDOW, enough: ENOUGH, first: FIRST_DELAY }
+    }
+}
+
+impl DelayBuilder {
+    /// Sets the quantile, between 0 and 1.
+    pub fn quantile(mut self, quantile: f64) -> Self {
+        self.quantile = quantile;
+        self
+    }
+
+    /// Sets the time for which latencies count.
+    pub fn window(mut self, window: Duration) -> Self {
+        self.window = window;
+        self
+    }
+
+    /// Sets how many latencies are needed before the quantile is believed.
+    pub fn enough(mut self, enough: u64) -> Self {
+        self.enough = enough.max(1);
+        self
+    }
+
+    /// Sets the delay before there are enough latencies.
+    pub fn first(mut self, first: Duration) -> Self {
+        self.first = first;
+        self
+    }
+
+    /// Builds the quantile.
+    pub fn build(self) -> Delay {
         let histogram = || Histogram::new_with_max(MAX_MICROS, 2).expect("the bounds are legal");
-        Self { recent: histogram(), before: histogram(), turned: None, delay: FIRST_DELAY }
+        Delay {
+            recent: histogram(),
+            before: histogram(),
+            turned: None,
+            delay: self.first,
+            settings: self,
+        }
+    }
+}
+
+impl Default for Delay {
+    fn default() -> Self {
+        Self::builder().build()
     }
 }
 
 impl Delay {
+    /// Starts the settings of a quantile.
+    pub fn builder() -> DelayBuilder {
+        DelayBuilder::default()
+    }
+
     /// Takes the latency of one answered part.
     pub fn record(&mut self, now: Instant, latency: Duration) {
         let turned = *self.turned.get_or_insert(now);
-        if now.saturating_duration_since(turned) >= WINDOW {
+        if now.saturating_duration_since(turned) >= self.settings.window {
             std::mem::swap(&mut self.recent, &mut self.before);
             self.recent.reset();
             self.turned = Some(now);
         }
         let micros = u64::try_from(latency.as_micros()).unwrap_or(MAX_MICROS);
         self.recent.saturating_record(micros.min(MAX_MICROS));
-        if self.recent.len() % REFRESH == 1 || self.recent.len() == ENOUGH {
+        if self.recent.len() % REFRESH == 1 || self.recent.len() == self.settings.enough {
             self.refresh();
         }
     }
@@ -63,11 +121,12 @@
     }
 
     fn refresh(&mut self) {
-        let full = if self.recent.len() >= ENOUGH { &self.recent } else { &self.before };
-        if full.len() < ENOUGH {
+        let enough = self.settings.enough;
+        let full = if self.recent.len() >= enough { &self.recent } else { &self.before };
+        if full.len() < enough {
             return;
         }
-        let micros = full.value_at_quantile(QUANTILE);
+        let micros = full.value_at_quantile(self.settings.quantile);
         self.delay = Duration::from_micros(micros).max(MIN_DELAY);
     }
 }
--- a/crates/hedge/src/lib.rs
+++ b/crates/hedge/src/lib.rs
@@ -1,7 +1,8 @@
 //! When to send a second copy of a straggling part, and how much extra load that may cost.
 //!
 //! [`Delay`] follows the recent latencies of a service; [`Budget`] holds hedges, retries and
-//! warm-up copies together under a fraction of the ordinary load. Reasons are in
+//! warm-up copies together under a fraction of the ordinary load, and [`Allowance`] does so for a
+//! limit that all hosts share and that holds in any span of time. Reasons are in
 //! `docs/design/hedging.md`.
 //!
 //! ```
@@ -15,8 +16,12 @@
 //! assert!(delay.get() >= Duration::from_millis(90));
 //! ```
 
+mod allowance;
+mod attempts;
 mod budget;
 mod delay;
 
+pub use crate::allowance::Allowance;
+pub use crate::attempts::{Attempts, End};
 pub use crate::budget::Budget;
-pub use crate::delay::Delay;
+pub use crate::delay::{Delay, DelayBuilder};
--- /dev/null
+++ b/crates/node/src/fan.rs
@@ -0,0 +1,383 @@
+//! The sendings of one request: one part, or one for each shard of a query.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hedge::{Attempts, End};
+use http_body_util::Full;
+use hyper::header::HeaderValue;
+use hyper::{Method, Request, Uri};
+use pick::{Outcome, Token};
+use platform::Call;
+use table::{Route, ServiceName};
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::time::sleep_until;
+
+use crate::exchange::{Ended, Reply, exchange};
+use crate::fleet::{Fleet, Pace};
+use crate::member::Member;
+use crate::metrics::Metrics;
+
+/// Time for which a sending goes on that nobody waits for any more. Letting a short one finish
+/// keeps its connection, which costs an upstream's slot to open again.
+const ABANDON_GRACE: Duration = Duration::from_millis(300);
+
+/// Part of the allowance that hedges leave to retries, which save a part that is lost otherwise.
+const HEDGE_RESERVE: f64 = 0.25;
+
+/// Time after which a part that could not be sent is tried again.
+const PARK_TIME: Duration = Duration::from_millis(4);
+
+/// Time left below which a part is not sent, since no answer can come back in it.
+const LEAST_LEFT: Duration = Duration::from_millis(2);
+
+/// A request as it is sent to upstreams.
+pub struct Outgoing {
+    /// What the caller's headers say.
+    pub call: Call,
+    /// Its method.
+    pub method: Method,
+    /// Path and query.
+    pub target: Uri,
+    /// Its whole body.
+    pub body: Bytes,
+    /// When the caller gets a final answer in any case.
+    pub end: Instant,
+}
+
+/// What comes of the sendings.
+#[derive(Debug)]
+pub enum Event {
+    /// A part has its answer.
+    Part(usize, Reply),
+    /// A part cannot get an answer any more; the last failure that an upstream gave for it.
+    Lost(usize, Option<Reply>),
+    /// The given time has come.
+    Due,
+}
+
+struct Part {
+    service: ServiceName,
+    attempts: Attempts,
+    running: Vec<Rc<Member>>,
+    due: Option<Instant>,
+    failure: Option<Reply>,
+    done: bool,
+    counted: bool,
+}
+
+struct Finished {
+    part: usize,
+    member: Rc<Member>,
+    ended: Ended,
+}
+
+/// The sendings of one request.
+pub struct Fan {
+    fleet: Rc<Fleet>,
+    metrics: std::sync::Arc<Metrics>,
+    outgoing: Rc<Outgoing>,
+    pace: Rc<std::cell::RefCell<Pace>>,
+    parts: Vec<Part>,
+    next_due: Option<Instant>,
+    results: UnboundedReceiver<Finished>,
+    sender: UnboundedSender<Finished>,
+}
+
+impl Fan {
+    /// Prepares sendings to one upstream of each service.
+    pub fn new(
+        fleet: Rc<Fleet>,
+        metrics: std::sync::Arc<Metrics>,
+        outgoing: Outgoing,
+        route: &Route,
+        services: &[ServiceName],
+    ) -> Self {
+        let (sender, results) = unbounded_channel();
+        let part = |service: &ServiceName| Part {
+            service: service.clone(),
+            attempts: Attempts::new(route.idempotent, route.attempts),
+            running: Vec::new(),
+            due: None,
+            failure: None,
+            done: false,
+            counted: false,
+        };
+        Self {
+            pace: fleet.pace(route),
+            fleet,
+            metrics,
+            outgoing: Rc::new(outgoing),
+            parts: services.iter().map(part).collect(),
+            next_due: None,
+            results,
+            sender,
+        }
+    }
+
+    /// Sends every part for the first time; those that cannot be sent now are tried again soon.
+    pub fn start(&mut self, now: Instant) {
+        for part in 0..self.parts.len() {
+            self.send(now, part);
+        }
+    }
+
+    /// Returns whether no upstream can have run any part.
+    pub fn is_not_run(&self) -> bool {
+        self.parts.iter().all(|part| part.attempts.is_not_run())
+    }
+
+    /// Waits for the next event, up to `until`.
+    pub async fn next(&mut self, until: Instant) -> Event {
+        loop {
+            let due = self.next_due.map_or(until, |due| due.min(until));
+            tokio::select! {
+                biased;
+                finished = self.results.recv() => {
+                    let finished = finished.expect("the sender is kept beside the receiver");
+                    if let Some(event) = self.finish(Instant::now(), finished) {
+                        return event;
+                    }
+                }
+                () = sleep_until(due.into()) => {
+                    let now = Instant::now();
+                    if now >= until {
+                        return Event::Due;
+                    }
+                    if let Some(lost) = self.work_due(now) {
+                        return Event::Lost(lost, None);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Hedges and retries what is due; returns a part that has just been lost.
+    fn work_due(&mut self, now: Instant) -> Option<usize> {
+        self.next_due = None;
+        let mut lost = None;
+        for index in 0..self.parts.len() {
+            let part = &mut self.parts[index];
+            let Some(due) = part.due.filter(|_| !part.done) else { continue };
+            if due > now || lost.is_some() {
+                self.wake_at(due);
+                continue;
+            }
+            part.due = None;
+            if part.attempts.is_running() {
+                self.hedge(now, index);
+            } else if !self.send(now, index) {
+                self.parts[index].done = true;
+                lost = Some(index);
+            }
+        }
+        lost
+    }
+
+    fn hedge(&mut self, now: Instant, index: usize) {
+        let part = &self.parts[index];
+        if !part.attempts.may_hedge() {
+            return;
+        }
+        let members = self.fleet.members(&part.service);
+        let others = members.iter().filter(|member| {
+            part.attempts.may_send(&member.upstream.id)
+                && !part.running.iter().any(|running| Rc::ptr_eq(running, member))
+                && !member.replica.borrow().is_away(now)
+        });
+        let typical = self.pace.borrow().typical();
+        let Some(member) = self.fleet.choose(now, typical, others) else { return };
+        if !self.fleet.take_extra(now, &part.service, HEDGE_RESERVE) {
+            self.metrics.extras_denied.inc();
+            return;
+        }
+        self.metrics.hedges.inc();
+        self.launch(now, index, member);
+    }
+
+    /// Sends a part that is not running; returns false when it cannot get an answer any more.
+    fn send(&mut self, now: Instant, index: usize) -> bool {
+        let part = &mut self.parts[index];
+        if now + LEAST_LEFT >= self.outgoing.end {
+            return false;
+        }
+        if !part.counted {
+            part.counted = true;
+            self.fleet.count_request(now, &part.service);
+        }
+        let members = self.fleet.members(&part.service);
+        let allowed = members.iter().filter(|member| part.attempts.may_send(&member.upstream.id));
+        let typical = self.pace.borrow().typical();
+        let Some(member) = self.fleet.choose(now, typical, allowed) else {
+            self.park(now, index);
+            return true;
+        };
+        if part.attempts.is_extra() && !self.fleet.take_extra(now, &part.service, 0.0) {
+            self.metrics.extras_denied.inc();
+            return false;
+        }
+        self.launch(now, index, member);
+        true
+    }
+
+    fn park(&mut self, now: Instant, index: usize) {
+        let due = now + PARK_TIME;
+        self.parts[index].due = Some(due);
+        self.wake_at(due);
+    }
+
+    fn wake_at(&mut self, due: Instant) {
+        self.next_due = Some(self.next_due.map_or(due, |next| next.min(due)));
+    }
+
+    fn launch(&mut self, now: Instant, index: usize, member: Rc<Member>) {
+        let (hedge, typical) = {
+            let pace = self.pace.borrow();
+            (pace.hedge(), pace.typical())
+        };
+        let part = &mut self.parts[index];
+        part.attempts.sent(&member.upstream.id);
+        part.running.push(Rc::clone(&member));
+        if part.attempts.may_hedge() {
+            let due = now + hedge;
+            part.due = Some(due);
+            self.wake_at(due);
+        }
+        let token = member.replica.borrow_mut().begin(now);
+        let sending = Sending {
+            part: index,
+            member,
+            outgoing: Rc::clone(&self.outgoing),
+            pace: Rc::clone(&self.pace),
+            metrics: std::sync::Arc::clone(&self.metrics),
+            token,
+            typical,
+        };
+        tokio::task::spawn_local(sending.run(now, self.sender.clone()));
+    }
+
+    /// Takes the end of a sending; returns what it means for the whole request.
+    fn finish(&mut self, now: Instant, finished: Finished) -> Option<Event> {
+        let Finished { part: index, member, ended } = finished;
+        let part = &mut self.parts[index];
+        part.running.retain(|running| !Rc::ptr_eq(running, &member));
+        if part.done {
+            return None;
+        }
+        let end = match ended {
+            Ended::Replied(reply) if reply.is_final() => {
+                part.done = true;
+                return Some(Event::Part(index, reply));
+            }
+            Ended::Replied(reply) => {
+                part.failure = Some(reply);
+                End::Unknown
+            }
+            Ended::Refused { .. } => End::Refused,
+            Ended::Unsent => End::Unsent,
+            Ended::Unknown { cause } => {
+                log::debug!(
+                    request = self.outgoing.call.id_text(),
+                    upstream = member.upstream.id,
+                    cause;
+                    "sending without an answer"
+                );
+                End::Unknown
+            }
+        };
+        let may_retry = part.attempts.ended(&member.upstream.id, end);
+        if part.attempts.is_running() || may_retry && self.send(now, index) {
+            return None;
+        }
+        let part = &mut self.parts[index];
+        part.done = true;
+        Some(Event::Lost(index, part.failure.take()))
+    }
+}
+
+impl Reply {
+    /// Returns whether another upstream would not do better.
+    fn is_final(&self) -> bool {
+        !self.status.is_server_error() && self.answer.stamp.is_some() && !self.answer.encoded
+    }
+}
+
+/// One sending in its own task.
+struct Sending {
+    part: usize,
+    member: Rc<Member>,
+    outgoing: Rc<Outgoing>,
+    pace: Rc<std::cell::RefCell<Pace>>,
+    metrics: std::sync::Arc<Metrics>,
+    token: Token,
+    typical: Duration,
+}
+
+impl Sending {
+    async fn run(self, sent: Instant, results: UnboundedSender<Finished>) {
+        let id: &HeaderValue = &self.outgoing.call.id;
+        let work = exchange(&self.member, self.request(sent), id, &self.metrics);
+        let ended = tokio::select! {
+            ended = work => Some(ended),
+            () = abandoned(&results) => None,
+        };
+        let now = Instant::now();
+        self.learn(now, now - sent, ended.as_ref());
+        if let Some(ended) = ended {
+            // The request may be answered already.
+            let _ = results.send(Finished { part: self.part, member: self.member, ended });
+        }
+    }
+
+    fn request(&self, now: Instant) -> Request<Full<Bytes>> {
+        let left = self.outgoing.end.saturating_duration_since(now);
+        let headers = platform::head(&self.outgoing.call, &self.member.upstream.id, left);
+        let mut request = Request::new(Full::new(self.outgoing.body.clone()));
+        *request.method_mut() = self.outgoing.method.clone();
+        *request.uri_mut() = self.outgoing.target.clone();
+        *request.headers_mut() = headers;
+        request
+    }
+
+    /// Records what the end says about the upstream.
+    fn learn(&self, now: Instant, time: Duration, ended: Option<&Ended>) {
+        let (outcome, name) = match ended {
+            Some(Ended::Replied(reply)) => {
+                if let Some((running, waiting)) = reply.answer.load {
+                    self.member.replica.borrow_mut().report(now, running, waiting);
+                }
+                if reply.is_final() {
+                    self.pace.borrow_mut().record(now, time);
+                    (Outcome::Answered { time, typical: self.typical }, "answered")
+                } else {
+                    (Outcome::Failed, "failed")
+                }
+            }
+            Some(Ended::Refused { replaced }) => {
+                self.member.replaced.set(self.member.replaced.get() || *replaced);
+                (Outcome::Refused, if *replaced { "replaced" } else { "refused" })
+            }
+            Some(Ended::Unsent) => (Outcome::Lost, "unsent"),
+            Some(Ended::Unknown { .. }) => (Outcome::Failed, "unknown"),
+            None if time > self.typical * SILENCE_RATIO + SILENCE_MARGIN => {
+                (Outcome::Lost, "silent")
+            }
+            None => (Outcome::Abandoned, "abandoned"),
+        };
+        self.metrics.sending(name);
+        self.member.replica.borrow_mut().end(now, self.token, outcome);
+    }
+}
+
+/// Time without an answer, in typical times, after which an upstream counts as lost.
+const SILENCE_RATIO: u32 = 10;
+
+/// Added to that time, for pauses of upstreams that last a tenth of a second or two.
+const SILENCE_MARGIN: Duration = Duration::from_millis(200);
+
+/// Waits until nobody waits for the answer, and a short time more.
+async fn abandoned(results: &UnboundedSender<Finished>) {
+    results.closed().await;
+    tokio::time::sleep(ABANDON_GRACE).await;
+}
--- /dev/null
+++ b/crates/node/src/fleet.rs
@@ -0,0 +1,296 @@
+//! What the traffic thread knows of upstreams, services and routes.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use hedge::{Allowance, Delay};
+use pick::{Candidate, Cold};
+use platform::Settings;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use table::{Route, ServiceName, Share, Split, Upstream, UpstreamId, View};
+
+use crate::directory;
+use crate::member::Member;
+
+/// Part of the shared extra requests that this host uses: what hosts that were restarted have
+/// forgotten, and what crosses the edges of a span, must fit beside it.
+const EXTRA_SHARE: f64 = 0.75;
+
+/// Part of an upstream's connections that all hosts together open; hosts that come and go see
+/// different numbers of hosts for a moment.
+const CONNECTION_SHARE: f64 = 0.85;
+
+/// Part of a cold upstream's rate that one host uses, so that two may believe to be the first.
+const COLD_SHARE: f64 = 0.4;
+
+/// Latency quantile after which a part counts as a straggler.
+const HEDGE_QUANTILE: f64 = 0.92;
+
+/// Factor on that quantile; without it, every twelfth part would be hedged on a calm day.
+const HEDGE_FACTOR: f64 = 1.1;
+
+/// Time for which latencies count.
+const PACE_WINDOW: Duration = Duration::from_secs(3);
+
+/// Latencies needed before a quantile is believed.
+const PACE_ENOUGH: u64 = 24;
+
+/// Part of the objective after which a part is hedged before its latencies are known.
+const FIRST_HEDGE: f64 = 0.25;
+
+/// Part of the objective that an answer takes before latencies are known.
+const FIRST_TYPICAL: f64 = 0.1;
+
+/// Cost of going to another failure domain, in typical times; it pays for the bytes that cross.
+const FAR_COST: f64 = 0.6;
+
+/// Recent latencies of the parts of one route.
+pub struct Pace {
+    hedge: Delay,
+    typical: Delay,
+}
+
+impl Pace {
+    fn new(objective: Duration) -> Self {
+        let delay = |quantile, first| {
+            let builder = Delay::builder().quantile(quantile).first(first);
+            builder.window(PACE_WINDOW).enough(PACE_ENOUGH).build()
+        };
+        Self {
+            hedge: delay(HEDGE_QUANTILE, objective.mul_f64(FIRST_HEDGE)),
+            typical: delay(0.5, objective.mul_f64(FIRST_TYPICAL)),
+        }
+    }
+
+    /// Takes the latency of one answered part.
+    pub fn record(&mut self, now: Instant, latency: Duration) {
+        self.hedge.record(now, latency);
+        self.typical.record(now, latency);
+    }
+
+    /// Returns the time after which a part counts as a straggler.
+    pub fn hedge(&self) -> Duration {
+        self.hedge.get().mul_f64(HEDGE_FACTOR)
+    }
+
+    /// Returns the usual time of a part.
+    pub fn typical(&self) -> Duration {
+        self.typical.get()
+    }
+}
+
+/// What the traffic thread knows.
+pub struct Fleet {
+    settings: Arc<Settings>,
+    state: RefCell<State>,
+}
+
+struct State {
+    view: Arc<View>,
+    members: BTreeMap<UpstreamId, Rc<Member>>,
+    services: BTreeMap<ServiceName, Vec<Rc<Member>>>,
+    allowances: BTreeMap<ServiceName, Allowance>,
+    paces: BTreeMap<Box<str>, Rc<RefCell<Pace>>>,
+    splits: BTreeMap<Box<str>, Split>,
+    random: StdRng,
+}
+
+impl Fleet {
+    /// Creates a fleet that knows nothing yet; `seed` draws ties.
+    pub fn new(settings: Arc<Settings>, seed: u64) -> Self {
+        let state = State {
+            view: Arc::default(),
+            members: BTreeMap::new(),
+            services: BTreeMap::new(),
+            allowances: BTreeMap::new(),
+            paces: BTreeMap::new(),
+            splits: BTreeMap::new(),
+            random: StdRng::seed_from_u64(seed),
+        };
+        Self { settings, state: RefCell::new(state) }
+    }
+
+    /// Returns the present view.
+    pub fn view(&self) -> Arc<View> {
+        Arc::clone(&self.state.borrow().view)
+    }
+
+    /// Takes a new view: upstreams that it does not name get nothing more.
+    pub fn update(&self, now: Instant, view: Arc<View>) {
+        let state = &mut *self.state.borrow_mut();
+        let dialers = self.dialers(&view);
+        let mut services: BTreeMap<ServiceName, Vec<Rc<Member>>> = BTreeMap::new();
+        let mut members = BTreeMap::new();
+        for (name, upstreams) in &view.upstreams {
+            let most = self.connections(&view, name, dialers);
+            for upstream in upstreams {
+                let known = state.members.get(&upstream.id);
+                let known = known.filter(|member| Arc::ptr_eq(&member.upstream, upstream));
+                let member = known.cloned().unwrap_or_else(|| {
+                    let before = state.members.get(&upstream.id);
+                    Rc::new(self.adopt(now, &view, upstream, before))
+                });
+                member.connections.set_most(most);
+                if let Some(cold) = member.replica.borrow_mut().cold_mut() {
+                    cold.set_spacing(self.cold_spacing(&view, upstream));
+                }
+                members.insert(upstream.id.clone(), Rc::clone(&member));
+                services.entry(name.clone()).or_default().push(member);
+            }
+        }
+        state.members = members;
+        state.services = services;
+        let slack = self.slack(&view);
+        state.allowances.values_mut().for_each(|allowance| allowance.set_slack(slack));
+        if let Some(table) = &view.table {
+            let routes = || table.routes().map(|route| &route.name);
+            state.paces.retain(|name, _| routes().any(|route| route == name));
+            state.splits.retain(|name, _| routes().any(|route| route == name));
+        }
+        state.view = view;
+    }
+
+    /// Returns the upstreams of a service.
+    pub fn members(&self, service: &str) -> Vec<Rc<Member>> {
+        self.state.borrow().services.get(service).cloned().unwrap_or_default()
+    }
+
+    /// Returns the latencies of a route's parts.
+    pub fn pace(&self, route: &Route) -> Rc<RefCell<Pace>> {
+        let paces = &mut self.state.borrow_mut().paces;
+        if let Some(pace) = paces.get(&route.name) {
+            return Rc::clone(pace);
+        }
+        let pace = Rc::new(RefCell::new(Pace::new(route.objective)));
+        paces.insert(route.name.clone(), Rc::clone(&pace));
+        pace
+    }
+
+    /// Returns the service of a split that gets the next request.
+    pub fn split<'a>(&self, route: &str, shares: &'a [Share]) -> Option<&'a Share> {
+        let splits = &mut self.state.borrow_mut().splits;
+        let split = splits.entry(route.into()).or_default();
+        split.next(shares).map(|index| &shares[index])
+    }
+
+    /// Counts the first sending of a request to a service.
+    pub fn count_request(&self, now: Instant, service: &str) {
+        self.with_allowance(now, service, |allowance| allowance.request(now));
+    }
+
+    /// Takes an extra request to a service if more than `reserve` of the allowance is left.
+    pub fn take_extra(&self, now: Instant, service: &str, reserve: f64) -> bool {
+        self.with_allowance(now, service, |allowance| allowance.take(now, reserve))
+    }
+
+    /// Chooses among members by the least expected time.
+    pub fn choose<'a>(
+        &self,
+        now: Instant,
+        typical: Duration,
+        members: impl Iterator<Item = &'a Rc<Member>>,
+    ) -> Option<Rc<Member>> {
+        let members: Vec<_> = members.filter(|member| member.has_room()).collect();
+        let replicas: Vec<_> = members.iter().map(|member| member.replica.borrow()).collect();
+        let far = typical.mul_f64(FAR_COST);
+        let candidates: Vec<_> = members
+            .iter()
+            .zip(&replicas)
+            .map(|(member, replica)| Candidate {
+                replica,
+                distance: if member.far { far } else { Duration::ZERO },
+            })
+            .collect();
+        let draw = self.state.borrow_mut().random.random();
+        let index = pick::choose(now, typical, &candidates, draw)?;
+        Some(Rc::clone(members[index]))
+    }
+
+    fn with_allowance<T>(
+        &self,
+        now: Instant,
+        service: &str,
+        act: impl FnOnce(&mut Allowance) -> T,
+    ) -> T {
+        let state = &mut *self.state.borrow_mut();
+        if let Some(allowance) = state.allowances.get_mut(service) {
+            return act(allowance);
+        }
+        let bounds = &self.settings.bounds;
+        let ratio = bounds.extra_ratio * EXTRA_SHARE;
+        let allowance = Allowance::new(now, bounds.extra_span, ratio, self.slack(&state.view));
+        act(state.allowances.entry(service.into()).or_insert(allowance))
+    }
+
+    fn slack(&self, view: &View) -> f64 {
+        self.settings.bounds.extra_slack * EXTRA_SHARE / view.hosts.len().max(1) as f64
+    }
+
+    /// Returns how many hosts callers are sent to, and so how many open connections.
+    fn dialers(&self, view: &View) -> usize {
+        let mut names: Vec<Box<str>> = Vec::new();
+        let mut domains: Vec<_> = view.hosts.values().map(|host| &host.domain).collect();
+        domains.sort_unstable();
+        domains.dedup();
+        for domain in domains {
+            let named = directory::named(view, Some(domain));
+            names.extend(named.into_iter().map(|host| host.name.clone()));
+        }
+        names.push(self.settings.host.clone());
+        names.sort_unstable();
+        names.dedup();
+        names.len()
+    }
+
+    fn connections(&self, view: &View, service: &str, dialers: usize) -> usize {
+        let service = view.table.as_ref().and_then(|table| table.service(service));
+        let all = service.map_or(dialers as u32, |service| service.connections);
+        ((f64::from(all) * CONNECTION_SHARE / dialers as f64) as usize).max(1)
+    }
+
+    fn adopt(
+        &self,
+        now: Instant,
+        view: &View,
+        upstream: &Arc<Upstream>,
+        before: Option<&Rc<Member>>,
+    ) -> Member {
+        let far = upstream.domain != self.settings.domain;
+        let same = before.filter(|before| {
+            before.upstream.born == upstream.born && before.upstream.address == upstream.address
+        });
+        let member = Member::new(Arc::clone(upstream), far, same.map(|before| &**before));
+        if !upstream.warmup_left.is_zero() {
+            let until = now + upstream.warmup_left;
+            let cold = Cold::new(until, self.cold_spacing(view, upstream));
+            member.replica.borrow_mut().set_cold(Some(cold));
+        }
+        member
+    }
+
+    /// Returns the time between two requests to a cold upstream, if this host may send any.
+    fn cold_spacing(&self, view: &View, upstream: &Upstream) -> Option<Duration> {
+        let hosts = view.hosts.values();
+        let near = hosts.filter(|host| host.domain == upstream.domain).map(|host| &*host.name);
+        let near: Vec<&str> = near.collect();
+        let all = || view.hosts.keys().map(|name| &**name);
+        let own = &*self.settings.host;
+        let first = if near.is_empty() {
+            pick::is_first(&upstream.id, own, all())
+        } else {
+            near.contains(&own) && pick::is_first(&upstream.id, own, near)
+        };
+        if !first {
+            return None;
+        }
+        let bounds = &self.settings.bounds;
+        let service = view.table.as_ref().and_then(|table| table.service(&upstream.service));
+        let rate = service.map_or(0.0, |service| service.cold_per_second);
+        let allowed = (rate * bounds.cold_factor + bounds.cold_slack) * COLD_SHARE;
+        (allowed >= 1.0).then(|| Duration::from_secs_f64(1.0 / allowed))
+    }
+}
--- /dev/null
+++ b/crates/node/src/front.rs
@@ -0,0 +1,376 @@
+//! Callers' requests.
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use gather::{Gather, Part, Step};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use platform::Call;
+use table::{Limits, Route, ServiceName, Table, Target, View};
+use tokio::sync::watch;
+
+use crate::exchange::Reply;
+use crate::fan::{Event, Fan, Outgoing};
+use crate::fleet::Fleet;
+use crate::metrics::Status;
+use crate::server::{Body, accept, adopt};
+use crate::start::Shared;
+
+/// Part of the grace period for which a stopping host still takes requests, since callers keep its
+/// address for a while.
+const LEAVE_SHARE: f64 = 0.55;
+
+/// Part of the grace period after which a stopping host ends whatever is left.
+const CLOSE_SHARE: f64 = 0.93;
+
+/// Time that an answer needs back to the caller, beside the part of the objective below.
+const RETURN_TIME: Duration = Duration::from_millis(4);
+
+/// Part of the objective kept for the way from and to the caller and for late timers.
+const RETURN_SHARE: f64 = 0.06;
+
+/// Time before a final answer is due at which this host gives up, so that it arrives in time.
+const FINAL_MARGIN: Duration = Duration::from_millis(3);
+
+/// When callers come back after a host had no configuration; it asks for one all the time.
+const RETRY_START: Duration = Duration::from_millis(200);
+
+/// When callers come back after upstreams refused; their queues are milliseconds long.
+const RETRY_REFUSED: Duration = Duration::from_millis(40);
+
+/// When callers come back after no upstream was known; a new one takes about a heartbeat.
+const RETRY_NONE: Duration = Duration::from_millis(300);
+
+/// Most connections of callers that wait to be accepted or are open are bounded by descriptors;
+/// one answered request in this many is logged.
+const LOG_SAMPLE: u32 = 200;
+
+/// The traffic thread's server.
+pub struct Front {
+    shared: Shared,
+    fleet: Rc<Fleet>,
+    leaving: Cell<bool>,
+    open: Cell<usize>,
+    answered: Cell<u32>,
+}
+
+/// An answer, and why it is what it is.
+struct Verdict {
+    response: Response<Body>,
+    cause: &'static str,
+    route: Option<Arc<Route>>,
+    missing: usize,
+}
+
+impl Front {
+    /// Serves callers until the process has stopped.
+    pub async fn run(shared: Shared, listener: TcpListener, mut views: watch::Receiver<Arc<View>>) {
+        let seed = rand::random();
+        let fleet = Rc::new(Fleet::new(Arc::clone(&shared.settings), seed));
+        let front = Rc::new(Self {
+            shared,
+            fleet: Rc::clone(&fleet),
+            leaving: Cell::new(false),
+            open: Cell::new(0),
+            answered: Cell::new(0),
+        });
+        tokio::task::spawn_local(async move {
+            while views.changed().await.is_ok() {
+                let view = Arc::clone(&views.borrow_and_update());
+                fleet.update(Instant::now(), view);
+            }
+        });
+        front.accept(listener).await;
+    }
+
+    async fn accept(self: Rc<Self>, listener: TcpListener) {
+        let listener = adopt(listener);
+        let (close, closing) = watch::channel(false);
+        let mut stop = self.shared.stop.clone();
+        let grace = self.shared.settings.bounds.grace;
+        let stopped = async {
+            stop.wait().await;
+            self.leaving.set(true);
+            log::info!(open = self.open.get(); "leaving: answers close their connections");
+            tokio::time::sleep(grace.mul_f64(LEAVE_SHARE)).await;
+        };
+        tokio::pin!(stopped);
+        loop {
+            tokio::select! {
+                stream = accept(&listener) => {
+                    let front = Rc::clone(&self);
+                    let closing = closing.clone();
+                    tokio::task::spawn_local(front.connection(TokioIo::new(stream), closing));
+                }
+                () = &mut stopped => break,
+            }
+        }
+        drop(listener);
+        close.send_replace(true);
+        let last = Instant::now() + grace.mul_f64(CLOSE_SHARE - LEAVE_SHARE);
+        while self.open.get() > 0 && Instant::now() < last {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        log::info!(open = self.open.get(); "connections of callers ended");
+    }
+
+    async fn connection(
+        self: Rc<Self>,
+        stream: TokioIo<tokio::net::TcpStream>,
+        mut closing: watch::Receiver<bool>,
+    ) {
+        self.open.set(self.open.get() + 1);
+        let limits = self.fleet.view().table.as_ref().map(|table| table.limits().clone());
+        let limits = limits.unwrap_or_default();
+        let front = Rc::clone(&self);
+        let service = service_fn(move |request| {
+            let front = Rc::clone(&front);
+            async move { Ok::<_, Infallible>(front.handle(request).await) }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            // The library counts idle time as time for the next head.
+            .header_read_timeout(limits.idle_time)
+            .max_buf_size(limits.header_bytes.max(MIN_BUFFER))
+            .serve_connection(stream, service);
+        tokio::pin!(connection);
+        let result = tokio::select! {
+            result = connection.as_mut() => result,
+            _ = closing.wait_for(|closing| *closing) => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
+        };
+        if let Err(error) = result {
+            log::debug!(error:%; "a caller's connection broke");
+        }
+        self.open.set(self.open.get() - 1);
+    }
+
+    async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
+        let arrival = Instant::now();
+        let call = Call::read(request.headers());
+        let id: Box<str> = call.as_ref().map_or("(none)", Call::id_text).into();
+        let path: Box<str> = request.uri().path().into();
+        let verdict = match call {
+            Ok(call) => self.serve(arrival, call, request).await,
+            Err(error) => {
+                log::info!(path, error:%; "malformed request");
+                Verdict::own(StatusCode::BAD_REQUEST, None, "malformed request")
+            }
+        };
+        self.tell(arrival, &id, &path, &verdict);
+        let mut response = verdict.response;
+        if self.leaving.get() {
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+
+    /// Counts an answer, and logs it if it is a failure, incomplete or drawn as a sample.
+    fn tell(&self, arrival: Instant, id: &str, path: &str, verdict: &Verdict) {
+        let took = arrival.elapsed();
+        let status = verdict.response.status();
+        self.shared.metrics.answers.get_or_create(&Status { status: status.as_u16() }).inc();
+        self.shared.metrics.latency.observe(took.as_secs_f64());
+        self.answered.set(self.answered.get().wrapping_add(1));
+        let sampled = self.answered.get() % LOG_SAMPLE == 0;
+        if status.is_success() && verdict.missing == 0 && !sampled {
+            return;
+        }
+        log::info!(
+            request = id,
+            path,
+            status = status.as_u16(),
+            cause = verdict.cause,
+            route = verdict.route.as_ref().map_or("(none)", |route| &route.name),
+            missing = verdict.missing,
+            took_ms = took.as_secs_f64() * 1_000.0,
+            config = self.fleet.view().table.as_ref().map_or(0, |table| table.version());
+            "answered"
+        );
+    }
+
+    async fn serve(&self, arrival: Instant, call: Call, request: Request<Incoming>) -> Verdict {
+        let view = self.fleet.view();
+        let Some(table) = view.table.as_ref() else {
+            return Verdict::own(
+                StatusCode::SERVICE_UNAVAILABLE,
+                Some(RETRY_START),
+                "no configuration yet",
+            );
+        };
+        let target = request.uri().path_and_query().cloned();
+        let method = request.method().clone();
+        let body = match read_body(request.into_body(), table.limits()).await {
+            Ok(body) => body,
+            Err((status, cause)) => return Verdict::own(status, None, cause),
+        };
+        let Some(target) = target else {
+            return Verdict::own(StatusCode::BAD_REQUEST, None, "request without a path");
+        };
+        let Some(route) = table.find(&call.host, target.path()) else {
+            return Verdict::own(StatusCode::NOT_FOUND, None, "no route");
+        };
+        let time = call.patience.map_or(route.timeout, |patience| patience.min(route.timeout));
+        let end = arrival + time.saturating_sub(FINAL_MARGIN);
+        let outgoing = Outgoing { call, method, target: target.into(), body, end };
+        let verdict = match &route.target {
+            Target::Service(service) => self.single(route, service, outgoing).await,
+            Target::Split(shares) => match self.fleet.split(&route.name, shares) {
+                Some(share) => self.single(route, &share.service, outgoing).await,
+                None => Verdict::own(StatusCode::SERVICE_UNAVAILABLE, None, "split without weights"),
+            },
+            Target::Gather(shards) => self.gather(arrival, table, route, shards, outgoing).await,
+        };
+        Verdict { route: Some(Arc::clone(route)), ..verdict }
+    }
+
+    async fn single(&self, route: &Route, service: &ServiceName, outgoing: Outgoing) -> Verdict {
+        if self.fleet.members(service).is_empty() {
+            return Verdict::own(
+                StatusCode::SERVICE_UNAVAILABLE,
+                Some(RETRY_NONE),
+                "service without upstreams",
+            );
+        }
+        let end = outgoing.end;
+        let services = std::slice::from_ref(service);
+        let metrics = Arc::clone(&self.shared.metrics);
+        let mut fan = Fan::new(Rc::clone(&self.fleet), metrics, outgoing, route, services);
+        fan.start(Instant::now());
+        match fan.next(end).await {
+            Event::Part(_, reply) | Event::Lost(_, Some(reply)) => Verdict::reply(reply),
+            Event::Lost(_, None) if fan.is_not_run() => Verdict::own(
+                StatusCode::SERVICE_UNAVAILABLE,
+                Some(RETRY_REFUSED),
+                "refused by all upstreams",
+            ),
+            Event::Lost(_, None) => {
+                Verdict::own(StatusCode::BAD_GATEWAY, None, "no usable answer of an upstream")
+            }
+            Event::Due if fan.is_not_run() => Verdict::own(
+                StatusCode::SERVICE_UNAVAILABLE,
+                Some(RETRY_REFUSED),
+                "no upstream took the request in time",
+            ),
+            Event::Due => Verdict::own(StatusCode::GATEWAY_TIMEOUT, None, "timeout"),
+        }
+    }
+
+    async fn gather(
+        &self,
+        arrival: Instant,
+        _table: &Arc<Table>,
+        route: &Route,
+        shards: &table::Gather,
+        outgoing: Outgoing,
+    ) -> Verdict {
+        let end = outgoing.end;
+        let id = outgoing.call.id.clone();
+        let margin = RETURN_TIME + route.objective.mul_f64(RETURN_SHARE);
+        let soft = arrival + route.objective.saturating_sub(margin);
+        let mut state = Gather::new(shards.shards.len(), shards.least(), soft, end);
+        for (index, shard) in shards.shards.iter().enumerate() {
+            if self.fleet.members(shard).is_empty() {
+                state.lose(index);
+            }
+        }
+        if state.step(arrival) == Step::Fail {
+            return Verdict::own(
+                StatusCode::SERVICE_UNAVAILABLE,
+                Some(RETRY_NONE),
+                "too few shards with upstreams",
+            );
+        }
+        let metrics = Arc::clone(&self.shared.metrics);
+        let mut fan = Fan::new(Rc::clone(&self.fleet), metrics, outgoing, route, &shards.shards);
+        fan.start(Instant::now());
+        loop {
+            let until = match state.step(Instant::now()) {
+                Step::Wait(until) => until,
+                Step::Answer => break,
+                Step::Fail if fan.is_not_run() => {
+                    return Verdict::own(
+                        StatusCode::SERVICE_UNAVAILABLE,
+                        Some(RETRY_REFUSED),
+                        "refused by all upstreams",
+                    );
+                }
+                Step::Fail => {
+                    return Verdict {
+                        missing: state.missing(),
+                        ..Verdict::own(StatusCode::GATEWAY_TIMEOUT, None, "too few parts in time")
+                    };
+                }
+            };
+            match fan.next(until).await {
+                Event::Part(index, reply) => match part(reply) {
+                    Some(part) => state.add(index, part),
+                    None => state.lose(index),
+                },
+                Event::Lost(index, _) => state.lose(index),
+                Event::Due => {}
+            }
+        }
+        let missing = state.missing();
+        self.shared.metrics.parts_missing.inc_by(missing as u64);
+        let body = Full::new(state.merge(shards.top_k));
+        let response = platform::gathered(&id, state.stamps(), missing, body);
+        let cause = if missing == 0 { "all parts" } else { "some parts" };
+        Verdict { response, cause, route: None, missing }
+    }
+}
+
+/// Smallest buffer that the library takes.
+const MIN_BUFFER: usize = 8 * 1024;
+
+impl Verdict {
+    /// Makes an answer of our own.
+    fn own(status: StatusCode, retry_after: Option<Duration>, cause: &'static str) -> Self {
+        let body = Full::new(Bytes::from_static(cause.as_bytes()));
+        let response = platform::refusal(status, retry_after, body);
+        Self { response, cause, route: None, missing: 0 }
+    }
+
+    /// Passes an upstream's answer on.
+    fn reply(mut reply: Reply) -> Self {
+        platform::Answer::strip(&mut reply.headers);
+        let mut response = Response::new(Full::new(reply.body));
+        *response.status_mut() = reply.status;
+        *response.headers_mut() = reply.headers;
+        Self { response, cause: "answer of an upstream", route: None, missing: 0 }
+    }
+}
+
+/// Returns the part in an upstream's answer; only a success is one.
+fn part(reply: Reply) -> Option<Part> {
+    let stamp = reply.answer.stamp.filter(|_| reply.status.is_success())?;
+    Some(Part { stamp, records: reply.body })
+}
+
+async fn read_body(
+    body: Incoming,
+    limits: &Limits,
+) -> Result<Bytes, (StatusCode, &'static str)> {
+    let whole = Limited::new(body, limits.body_bytes).collect();
+    match tokio::time::timeout(limits.read_time, whole).await {
+        Ok(Ok(whole)) => Ok(whole.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            Err((StatusCode::PAYLOAD_TOO_LARGE, "body too large"))
+        }
+        Ok(Err(_)) => Err((StatusCode::BAD_REQUEST, "body broke off")),
+        Err(_) => Err((StatusCode::REQUEST_TIMEOUT, "body too slow")),
+    }
+}
--- /dev/null
+++ b/crates/node/src/start.rs
@@ -0,0 +1,72 @@
+//! Threads of the process and what they share.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+
+use kernel::{Error, Process, Result, Stop};
+use platform::Settings;
+use table::View;
+use tokio::sync::watch;
+
+use crate::control::Control;
+use crate::front::Front;
+use crate::metrics::Metrics;
+use crate::server::listen;
+
+/// What the threads share.
+#[derive(Clone)]
+pub struct Shared {
+    /// Settings of the process.
+    pub settings: Arc<Settings>,
+    /// Counters of the process.
+    pub metrics: Arc<Metrics>,
+    /// Tells of the stop.
+    pub stop: Stop,
+}
+
+/// Starts the control and traffic threads of a process.
+///
+/// # Errors
+///
+/// Fails when an address cannot be listened on, the client of the store cannot be set up or a thread
+/// cannot be started.
+pub fn start(
+    settings: Settings,
+    metrics_port: u16,
+    process: &mut Process<kernel::Starting>,
+) -> Result<()> {
+    let metrics = Arc::new(Metrics::default());
+    process.registry().register("metrics", Arc::clone(&metrics));
+    let shared = Shared { settings: Arc::new(settings), metrics, stop: process.stop() };
+    let settings = &shared.settings;
+    let front = listen(settings.front)?;
+    let readiness = listen(settings.readiness)?;
+    let peer = listen(settings.peer)?;
+    let directory = listen(settings.directory)?;
+    let metrics = listen(SocketAddr::from((own_address(settings.front), metrics_port)))?;
+    let store = platform::Client::new(settings.store).map_err(Error::other)?;
+    let (publish, views) = watch::channel(Arc::new(View::default()));
+
+    let traffic = shared.clone();
+    let thread = kernel::spawn_local("traffic", move || Front::run(traffic, front, views))?;
+    process.add_thread(thread);
+    let control = shared.clone();
+    let listeners = crate::control::Listeners { readiness, peer, directory, metrics };
+    // The control thread serves until the process ends, so nobody waits for it.
+    kernel::spawn_local("control", move || Control::run(control, store, listeners, publish))?;
+    log::info!(
+        host = settings.host,
+        domain = settings.domain,
+        front:% = settings.front,
+        store:% = settings.store;
+        "started"
+    );
+    Ok(())
+}
+
+fn own_address(front: SocketAddr) -> Ipv4Addr {
+    match front {
+        SocketAddr::V4(front) => *front.ip(),
+        SocketAddr::V6(_) => Ipv4Addr::LOCALHOST,
+    }
+}
--- /dev/null
+++ b/crates/pick/src/decay.rs
@@ -0,0 +1,33 @@
+//! Averages that forget with time, so that an avoided replica gets another chance.
+
+use std::time::{Duration, Instant};
+
+/// An average over recent samples that drifts back to its resting value.
+#[derive(Clone, Copy, Debug)]
+pub struct Decay {
+    rest: f64,
+    excess: f64,
+    at: Option<Instant>,
+    half_life: Duration,
+}
+
+impl Decay {
+    /// Creates an average that rests at `rest` and halves its distance from it per half-life.
+    pub fn new(rest: f64, half_life: Duration) -> Self {
+        Self { rest, excess: 0.0, at: None, half_life }
+    }
+
+    /// Returns the present value.
+    pub fn get(&self, now: Instant) -> f64 {
+        let Some(at) = self.at else { return self.rest };
+        let age = now.saturating_duration_since(at).as_secs_f64() / self.half_life.as_secs_f64();
+        self.rest + self.excess * 0.5_f64.powf(age)
+    }
+
+    /// Moves the value towards a sample by `weight`, between 0 and 1.
+    pub fn add(&mut self, now: Instant, sample: f64, weight: f64) {
+        let old = self.get(now);
+        self.excess = old + (sample - old) * weight - self.rest;
+        self.at = Some(now);
+    }
+}
--- /dev/null
+++ b/crates/table/src/lib.rs
@@ -0,0 +1,41 @@
+//! Routes, services and upstreams: everything a host must know to serve a request.
+//!
+//! A [`View`] is an immutable picture of this knowledge. The control thread builds a new one from
+//! each change, and every request keeps the view it began with, so that an answer never mixes two
+//! versions of the configuration. See `docs/design/platform.md`.
+//!
+//! ```
+//! use std::time::Duration;
+//! use table::{Route, Table, Target};
+//!
+//! let route = Route::builder("search", "towpath.example", "/search/")
+//!     .target(Target::Service("faults".into()))
+//!     .timeout(Duration::from_millis(600))
+//!     .build();
+//! let table = Table::builder(7).route(route).build();
+//! assert!(table.find("towpath.example", "/search/washout").is_some());
+//! assert!(table.find("towpath.example", "/other/").is_none());
+//! ```
+
+mod fact;
+mod route;
+mod service;
+mod split;
+mod table;
+mod view;
+
+pub use crate::fact::{Fact, Host};
+pub use crate::route::{Gather, Route, RouteBuilder, Share, Target};
+pub use crate::service::{Service, Upstream};
+pub use crate::split::Split;
+pub use crate::table::{Limits, Table, TableBuilder};
+pub use crate::view::View;
+
+/// Name of a service; the shards of a gather are services as well.
+pub type ServiceName = Box<str>;
+
+/// Identity of one incarnation of an upstream.
+pub type UpstreamId = Box<str>;
+
+/// Name of a failure domain.
+pub type Domain = Box<str>;
