--- a/crates/feed/src/source.rs
+++ b/crates/feed/src/source.rs
@@ -33,7 +33,8 @@
 /// Chooses the source and remembers which ones failed.
 ///
 /// The first host of a failure domain, by name, watches the store and the others follow the first
-/// one that answers. A host whose way to the store is cut follows any host that still hears it.
+/// one that answers. A host whose news is old asks the store itself, and then hosts of other failure
+/// domains: those that it would follow otherwise may have lost the store together.
 #[derive(Debug)]
 pub struct Sources {
     own: Peer,
@@ -53,13 +54,13 @@
         Self { own, seeds, failed: BTreeMap::new() }
     }
 
-    /// Returns the best source that is not being left alone, and otherwise the time to wait.
+    /// Returns the best source that is not being left alone, given whether the news is old.
     ///
     /// # Errors
     ///
     /// Returns the time at which the first source may be tried again if none may be now.
-    pub fn choose(&self, now: Instant, peers: &[Peer]) -> Result<Source, Instant> {
-        let order = self.order(peers);
+    pub fn choose(&self, now: Instant, peers: &[Peer], old: bool) -> Result<Source, Instant> {
+        let order = if old { self.order_of_old(peers) } else { self.order(peers) };
         let free = |source: &&Source| self.blocked_until(**source).is_none_or(|at| at <= now);
         match order.iter().find(free) {
             Some(source) => Ok(*source),
@@ -85,6 +86,18 @@
         self.failed.get(&source).map(|failure| failure.until)
     }
 
+    /// Orders the sources of a host whose news is old: the store, the hosts of other failure
+    /// domains, and then its own.
+    fn order_of_old(&self, peers: &[Peer]) -> Vec<Source> {
+        let near = |source: &Source| {
+            let known = |peer: &&Peer| Source::Peer(peer.address) == *source;
+            peers.iter().find(known).is_some_and(|peer| peer.domain == self.own.domain)
+        };
+        let mut order = self.order(peers);
+        order.sort_by_key(|source| (*source != Source::Store, near(source)));
+        order
+    }
+
     /// Orders the sources: earlier hosts of the own failure domain, the store, and then all others.
     fn order(&self, peers: &[Peer]) -> Vec<Source> {
         let others = || peers.iter().filter(|peer| peer.name != self.own.name);
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -125,7 +125,8 @@
         let mut last = None;
         loop {
             let now = Instant::now();
-            let chosen = self.sources.borrow().choose(now, &self.peers());
+            let old = self.left_fresh(now).is_zero();
+            let chosen = self.sources.borrow().choose(now, &self.peers(), old);
             let source = match chosen {
                 Ok(source) => source,
                 Err(at) => {
@@ -176,8 +177,12 @@
     async fn read_peer(&self, source: Source) {
         let Source::Peer(address) = source else { return };
         let after = self.mirror.borrow().revision();
-        let question = follow::Question { after, wait: self.part(FOLLOW_SHARE) };
         let asked = Instant::now();
+        let wait = match self.left_fresh(asked) {
+            Duration::ZERO => self.part(FOLLOW_SHARE),
+            left => self.part(FOLLOW_SHARE).min(left),
+        };
+        let question = follow::Question { after, wait };
         let result = follow::ask(&self.http, address, &question).await;
         let now = Instant::now();
         match result {
@@ -372,6 +377,12 @@
         reply(StatusCode::OK, "text/plain; version=0.0.4", self.shared.metrics.text())
     }
 
+    /// Returns how long the news stays fresh, zero if it is old or if there is none yet.
+    fn left_fresh(&self, now: Instant) -> Duration {
+        let until = self.heard.get().map(|heard| heard + self.part(STALE_SHARE));
+        until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
+    }
+
     fn age_ms(&self, now: Instant) -> u64 {
         let age = self.heard.get().map(|heard| now.saturating_duration_since(heard));
         age.map_or(u64::MAX / 2, |age| age.as_millis() as u64)
--- a/crates/node/src/fan.rs
+++ b/crates/node/src/fan.rs
@@ -26,6 +26,9 @@
 /// Part of the allowance that hedges leave to retries, which save a part that is lost otherwise.
 const HEDGE_RESERVE: f64 = 0.25;
 
+/// Part of the allowance that retries leave to others while the answer can do without their part.
+const SPARE_RESERVE: f64 = 0.6;
+
 /// Time after which a part that could not be sent is tried again.
 const PARK_TIME: Duration = Duration::from_millis(4);
 
@@ -80,19 +83,21 @@
     outgoing: Rc<Outgoing>,
     pace: Rc<std::cell::RefCell<Pace>>,
     parts: Vec<Part>,
+    spare: usize,
     next_due: Option<Instant>,
     results: UnboundedReceiver<Finished>,
     sender: UnboundedSender<Finished>,
 }
 
 impl Fan {
-    /// Prepares sendings to one upstream of each service.
+    /// Prepares sendings to one upstream of each service, of which the answer needs `least`.
     pub fn new(
         fleet: Rc<Fleet>,
         metrics: std::sync::Arc<Metrics>,
         outgoing: Outgoing,
         route: &Route,
         services: &[ServiceName],
+        least: usize,
     ) -> Self {
         let (sender, results) = unbounded_channel();
         let part = |service: &ServiceName| Part {
@@ -110,6 +115,7 @@
             metrics,
             outgoing: Rc::new(outgoing),
             parts: services.iter().map(part).collect(),
+            spare: services.len().saturating_sub(least),
             next_due: None,
             results,
             sender,
@@ -168,7 +174,7 @@
             if part.attempts.is_running() {
                 self.hedge(now, index);
             } else if !self.send(now, index) {
-                self.parts[index].done = true;
+                self.lose(index);
                 lost = Some(index);
             }
         }
@@ -213,7 +219,8 @@
             self.park(now, index);
             return true;
         };
-        if part.attempts.is_extra() && !self.fleet.take_extra(now, &part.service, 0.0) {
+        let reserve = if self.spare > 0 { SPARE_RESERVE } else { 0.0 };
+        if part.attempts.is_extra() && !self.fleet.take_extra(now, &part.service, reserve) {
             self.metrics.extras_denied.inc();
             return false;
         }
@@ -290,9 +297,13 @@
         if part.attempts.is_running() || may_retry && self.send(now, index) {
             return None;
         }
-        let part = &mut self.parts[index];
-        part.done = true;
-        Some(Event::Lost(index, part.failure.take()))
+        self.lose(index);
+        Some(Event::Lost(index, self.parts[index].failure.take()))
+    }
+
+    fn lose(&mut self, index: usize) {
+        self.parts[index].done = true;
+        self.spare = self.spare.saturating_sub(1);
     }
 }
 
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -24,6 +24,9 @@
 /// different numbers of hosts for a moment.
 const CONNECTION_SHARE: f64 = 0.85;
 
+/// Time for which a host that callers were sent to is expected to keep its connections.
+const DIALER_MEMORY: Duration = Duration::from_secs(20);
+
 /// Part of a cold upstream's rate that one host uses, so that two may believe to be the first.
 const COLD_SHARE: f64 = 0.4;
 
@@ -33,6 +36,10 @@
 /// Factor on that quantile; without it, every twelfth part would be hedged on a calm day.
 const HEDGE_FACTOR: f64 = 1.1;
 
+/// Most of the usual time after which a part counts as a straggler. When many upstreams are slow
+/// the quantile tells how slow, and hedges would come too late to help.
+const HEDGE_MOST: f64 = 3.0;
+
 /// Time for which latencies count.
 const PACE_WINDOW: Duration = Duration::from_secs(3);
 
@@ -46,7 +53,7 @@
 const FIRST_TYPICAL: f64 = 0.1;
 
 /// Cost of going to another failure domain, in typical times; it pays for the bytes that cross.
-const FAR_COST: f64 = 0.6;
+const FAR_COST: f64 = 2.0;
 
 /// Recent latencies of the parts of one route.
 pub struct Pace {
@@ -74,7 +81,8 @@
 
     /// Returns the time after which a part counts as a straggler.
     pub fn hedge(&self) -> Duration {
-        self.hedge.get().mul_f64(HEDGE_FACTOR)
+        let quantile = self.hedge.get().mul_f64(HEDGE_FACTOR);
+        quantile.min(self.typical.get().mul_f64(HEDGE_MOST))
     }
 
     /// Returns the usual time of a part.
@@ -97,6 +105,24 @@
     paces: BTreeMap<Box<str>, Rc<RefCell<Pace>>>,
     splits: BTreeMap<Box<str>, Split>,
     random: StdRng,
+    dialers: Option<(Instant, usize)>,
+}
+
+/// The hosts that callers are sent to.
+struct Dialers {
+    count: usize,
+    own: bool,
+}
+
+impl State {
+    /// Returns how many hosts callers are sent to, the most of recent times: a host that left the
+    /// list for a moment still has its connections.
+    fn recent_dialers(&mut self, now: Instant, present: usize) -> usize {
+        let before = self.dialers.filter(|(until, count)| now < *until && *count > present);
+        let (until, count) = before.unwrap_or((now + DIALER_MEMORY, present));
+        self.dialers = Some((until, count));
+        count.max(1)
+    }
 }
 
 impl Fleet {
@@ -110,6 +136,7 @@
             paces: BTreeMap::new(),
             splits: BTreeMap::new(),
             random: StdRng::seed_from_u64(seed),
+            dialers: None,
         };
         Self { settings, state: RefCell::new(state) }
     }
@@ -122,11 +149,15 @@
     /// Takes a new view: upstreams that it does not name get nothing more.
     pub fn update(&self, now: Instant, view: Arc<View>) {
         let state = &mut *self.state.borrow_mut();
-        let dialers = self.dialers(&view);
+        let names = self.dialers(&view);
+        let dialers = Dialers {
+            count: state.recent_dialers(now, names.len()),
+            own: names.contains(&self.settings.host),
+        };
         let mut services: BTreeMap<ServiceName, Vec<Rc<Member>>> = BTreeMap::new();
         let mut members = BTreeMap::new();
         for (name, upstreams) in &view.upstreams {
-            let most = self.connections(&view, name, dialers);
+            let most = self.connections(&view, name, &dialers);
             for upstream in upstreams {
                 let known = state.members.get(&upstream.id);
                 let known = known.filter(|member| Arc::ptr_eq(&member.upstream, upstream));
@@ -230,8 +261,8 @@
         self.settings.bounds.extra_slack * EXTRA_SHARE / view.hosts.len().max(1) as f64
     }
 
-    /// Returns how many hosts callers are sent to, and so how many open connections.
-    fn dialers(&self, view: &View) -> usize {
+    /// Returns the hosts that callers are sent to, and that so open most connections.
+    fn dialers(&self, view: &View) -> Vec<Box<str>> {
         let mut names: Vec<Box<str>> = Vec::new();
         let mut domains: Vec<_> = view.hosts.values().map(|host| &host.domain).collect();
         domains.sort_unstable();
@@ -240,16 +271,22 @@
             let named = directory::named(view, Some(domain));
             names.extend(named.into_iter().map(|host| host.name.clone()));
         }
-        names.push(self.settings.host.clone());
         names.sort_unstable();
         names.dedup();
-        names.len()
+        names
     }
 
-    fn connections(&self, view: &View, service: &str, dialers: usize) -> usize {
+    /// Returns the most connections to each upstream of a service. A host that callers are not sent
+    /// to needs one only.
+    fn connections(&self, view: &View, service: &str, dialers: &Dialers) -> usize {
+        if !dialers.own {
+            return 1;
+        }
         let service = view.table.as_ref().and_then(|table| table.service(service));
-        let all = service.map_or(dialers as u32, |service| service.connections);
-        ((f64::from(all) * CONNECTION_SHARE / dialers as f64) as usize).max(1)
+        let all = service.map_or(0.0, |service| f64::from(service.connections));
+        let others = view.hosts.len().saturating_sub(dialers.count) as f64;
+        let share = (all * CONNECTION_SHARE - others) / dialers.count as f64;
+        (share as usize).max(1)
     }
 
     fn adopt(
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -248,7 +248,7 @@
         let end = outgoing.end;
         let services = std::slice::from_ref(service);
         let metrics = Arc::clone(&self.shared.metrics);
-        let mut fan = Fan::new(Rc::clone(&self.fleet), metrics, outgoing, route, services);
+        let mut fan = Fan::new(Rc::clone(&self.fleet), metrics, outgoing, route, services, 1);
         fan.start(Instant::now());
         match fan.next(end).await {
             Event::Part(_, reply) | Event::Lost(_, Some(reply)) => Verdict::reply(reply),
@@ -295,7 +295,9 @@
             );
         }
         let metrics = Arc::clone(&self.shared.metrics);
-        let mut fan = Fan::new(Rc::clone(&self.fleet), metrics, outgoing, route, &shards.shards);
+        let fleet = Rc::clone(&self.fleet);
+        let mut fan =
+            Fan::new(fleet, metrics, outgoing, route, &shards.shards, shards.least());
         fan.start(Instant::now());
         loop {
             let until = match state.step(Instant::now()) {
--- a/crates/pick/src/replica.rs
+++ b/crates/pick/src/replica.rs
@@ -25,8 +25,9 @@
 /// Added to the age at which a replica counts as paused; covers scheduling noise on slow hosts.
 const PAUSE_MARGIN: Duration = Duration::from_millis(8);
 
-/// Expected cost of a failure or refusal, in typical times: the other replica's time and the way.
-const FAILURE_COST: f64 = 3.0;
+/// Cost of a certain failure or refusal, in typical times. It is far more than the time that is
+/// lost, since a second sending also draws on the extra requests that all hosts share.
+const FAILURE_COST: f64 = 12.0;
 
 /// First time for which an upstream that cannot be reached gets nothing.
 const FIRST_AWAY: Duration = Duration::from_millis(250);
