--- a/crates/node/src/fan.rs
+++ b/crates/node/src/fan.rs
@@ -35,6 +35,9 @@
 /// Time left below which a part is not sent, since no answer can come back in it.
 const LEAST_LEFT: Duration = Duration::from_millis(2);
 
+/// Parts without an answer that a log line names.
+const MOST_DESCRIBED: usize = 4;
+
 /// A request as it is sent to upstreams.
 pub struct Outgoing {
     /// What the caller's headers say.
@@ -66,7 +69,10 @@
     running: Vec<Rc<Member>>,
     due: Option<Instant>,
     failure: Option<Reply>,
+    sent: Option<Instant>,
+    trouble: Option<&'static str>,
     done: bool,
+    answered: bool,
     counted: bool,
 }
 
@@ -106,7 +112,10 @@
             running: Vec::new(),
             due: None,
             failure: None,
+            sent: None,
+            trouble: None,
             done: false,
+            answered: false,
             counted: false,
         };
         Self {
@@ -134,6 +143,21 @@
         self.parts.iter().all(|part| part.attempts.is_not_run())
     }
 
+    /// Describes some parts that have no answer, for the log.
+    pub fn describe_missing(&self, now: Instant) -> String {
+        let missing = self.parts.iter().filter(|part| !part.answered).take(MOST_DESCRIBED);
+        let describe = |part: &Part| {
+            let running = part.running.iter().map(|member| {
+                let age = part.sent.map_or(0, |sent| (now - sent).as_millis());
+                format!("waits {age} ms for {}", member.upstream.id)
+            });
+            let mut causes: Vec<String> = running.collect();
+            causes.extend(part.trouble.map(Into::into));
+            format!("{}: {}", part.service, causes.join(", "))
+        };
+        missing.map(describe).collect::<Vec<_>>().join("; ")
+    }
+
     /// Waits for the next event, up to `until`.
     pub async fn next(&mut self, until: Instant) -> Event {
         loop {
@@ -193,9 +217,13 @@
                 && !member.replica.borrow().is_away(now)
         });
         let typical = self.pace.borrow().typical();
-        let Some(member) = self.fleet.choose(now, typical, others) else { return };
+        let Some(member) = self.fleet.choose(now, typical, others) else {
+            self.parts[index].trouble = Some("no other upstream for a hedge");
+            return;
+        };
         if !self.fleet.take_extra(now, &part.service, HEDGE_RESERVE) {
             self.metrics.extras_denied.inc();
+            self.parts[index].trouble = Some("no allowance for a hedge");
             return;
         }
         self.metrics.hedges.inc();
@@ -216,12 +244,14 @@
         let allowed = members.iter().filter(|member| part.attempts.may_send(&member.upstream.id));
         let typical = self.pace.borrow().typical();
         let Some(member) = self.fleet.choose(now, typical, allowed) else {
+            part.trouble = Some("no upstream with room");
             self.park(now, index);
             return true;
         };
         let reserve = if self.spare > 0 { SPARE_RESERVE } else { 0.0 };
         if part.attempts.is_extra() && !self.fleet.take_extra(now, &part.service, reserve) {
             self.metrics.extras_denied.inc();
+            part.trouble = Some("no allowance for a retry");
             return false;
         }
         self.launch(now, index, member);
@@ -246,6 +276,7 @@
         let part = &mut self.parts[index];
         part.attempts.sent(&member.upstream.id);
         part.running.push(Rc::clone(&member));
+        part.sent.get_or_insert(now);
         if part.attempts.may_hedge() {
             let due = now + hedge;
             part.due = Some(due);
@@ -275,15 +306,20 @@
         let end = match ended {
             Ended::Replied(reply) if reply.is_final() => {
                 part.done = true;
+                part.answered = true;
                 return Some(Event::Part(index, reply));
             }
             Ended::Replied(reply) => {
                 part.failure = Some(reply);
                 End::Unknown
             }
-            Ended::Refused { .. } => End::Refused,
+            Ended::Refused { .. } => {
+                part.trouble = Some("refused");
+                End::Refused
+            }
             Ended::Unsent => End::Unsent,
             Ended::Unknown { cause } => {
+                part.trouble = Some(cause);
                 log::debug!(
                     request = self.outgoing.call.id_text(),
                     upstream = member.upstream.id,
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -71,6 +71,7 @@
     cause: &'static str,
     route: Option<Arc<Route>>,
     missing: usize,
+    detail: String,
 }
 
 impl Front {
@@ -196,6 +197,7 @@
             cause = verdict.cause,
             route = verdict.route.as_ref().map_or("(none)", |route| &route.name),
             missing = verdict.missing,
+            detail = verdict.detail,
             took_ms = took.as_secs_f64() * 1_000.0,
             config = self.fleet.view().table.as_ref().map_or(0, |table| table.version());
             "answered"
@@ -313,6 +315,7 @@
                 Step::Fail => {
                     return Verdict {
                         missing: state.missing(),
+                        detail: fan.describe_missing(Instant::now()),
                         ..Verdict::own(StatusCode::GATEWAY_TIMEOUT, None, "too few parts in time")
                     };
                 }
@@ -331,7 +334,9 @@
         let body = Full::new(state.merge(shards.top_k));
         let response = platform::gathered(&id, state.stamps(), missing, body);
         let cause = if missing == 0 { "all parts" } else { "some parts" };
-        Verdict { response, cause, route: None, missing }
+        let detail =
+            if missing == 0 { String::new() } else { fan.describe_missing(Instant::now()) };
+        Verdict { response, cause, route: None, missing, detail }
     }
 }
 
@@ -343,7 +348,7 @@
     fn own(status: StatusCode, retry_after: Option<Duration>, cause: &'static str) -> Self {
         let body = Full::new(Bytes::from_static(cause.as_bytes()));
         let response = platform::refusal(status, retry_after, body);
-        Self { response, cause, route: None, missing: 0 }
+        Self { response, cause, route: None, missing: 0, detail: String::new() }
     }
 
     /// Passes an upstream's answer on.
@@ -352,7 +357,7 @@
         let mut response = Response::new(Full::new(reply.body));
         *response.status_mut() = reply.status;
         *response.headers_mut() = reply.headers;
-        Self { response, cause: "answer of an upstream", route: None, missing: 0 }
+        Self { response, cause: "answer of an upstream", route: None, missing: 0, detail: String::new() }
     }
 }
 
