Drive connections from the sendings that use them; add the soak

Cause: each part cost a task of its own and two wake-ups of the connection's task. On hosts with 0.12 to 0.5 of a core, processor time a part is latency. Ruled out: a client of our own instead of the library (no further parsers).

--- /dev/null
+++ b/crates/node/src/connection.rs
@@ -0,0 +1,92 @@
+//! A connection to an upstream that is driven by whoever uses it.
+//!
+//! A task of its own for each connection would cost two more wake-ups a request, which is a large
+//! part of what a request costs; see `docs/design/platform.md`.
+
+use std::future::Future;
+use std::io::{Error, Result};
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::{Context, Poll, Waker};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+type Task = http1::Connection<TokioIo<TcpStream>, Full<Bytes>>;
+
+/// A connection that carries one request at a time.
+pub struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    task: Option<Box<Task>>,
+}
+
+impl Connection {
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the upstream does not accept it.
+    pub async fn open(address: SocketAddr) -> Result<Self> {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        let (sender, task) = http1::handshake(TokioIo::new(stream)).await.map_err(Error::other)?;
+        Ok(Self { sender, task: Some(Box::new(task)) })
+    }
+
+    /// Sends a request and waits for the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection breaks. The error holds the request if nothing was written.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> std::result::Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        let response = self.sender.try_send_request(request);
+        drive(&mut self.task, response).await
+    }
+
+    /// Runs the connection until `work`, which waits for something on it, is done.
+    pub async fn drive<T>(&mut self, work: impl Future<Output = T>) -> T {
+        drive(&mut self.task, work).await
+    }
+
+    /// Returns whether the connection can carry another request. It was closed, or is unusable,
+    /// when anything arrived on it since the last answer.
+    pub fn is_usable(&mut self) -> bool {
+        let mut context = Context::from_waker(Waker::noop());
+        poll_task(&mut self.task, &mut context);
+        self.task.is_some() && self.sender.is_ready()
+    }
+}
+
+async fn drive<T>(task: &mut Option<Box<Task>>, work: impl Future<Output = T>) -> T {
+    let mut work = std::pin::pin!(work);
+    std::future::poll_fn(move |context| {
+        poll_task(task, context);
+        let polled = work.as_mut().poll(context);
+        if polled.is_pending() {
+            // What the work has just asked of the connection is done in the same turn.
+            poll_task(task, context);
+        }
+        polled
+    })
+    .await
+}
+
+fn poll_task(task: &mut Option<Box<Task>>, context: &mut Context<'_>) {
+    if let Some(running) = task
+        && let Poll::Ready(result) = Pin::new(running.as_mut()).poll(context)
+    {
+        if let Err(error) = result {
+            log::debug!(error:%; "connection broke");
+        }
+        *task = None;
+    }
+}
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -1,19 +1,16 @@
 //! One request on one connection to one upstream.
 
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::client::conn::http1;
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::TokioIo;
 use platform::Answer;
-use tokio::net::TcpStream;
 
-use crate::member::{Connection, Member};
+use crate::connection::Connection;
+use crate::member::Member;
 use crate::metrics::Metrics;
 
 /// Time for a new connection; the ways between failure domains take milliseconds.
@@ -70,7 +67,7 @@
     };
     // The connection counts as open until this is told otherwise, also when the task is dropped.
     let guard = Guard(Some(member));
-    let response = match connection.try_send_request(request).await {
+    let response = match connection.send(request).await {
         Ok(response) => response,
         Err(mut error) => {
             return match error.take_message() {
@@ -83,10 +80,10 @@
     if !answer.own {
         return Ended::Unknown { cause: "answer to another request" };
     }
-    let Some(reply) = collect(response, answer).await else {
+    let Some(reply) = connection.drive(collect(response, answer)).await else {
         return Ended::Unknown { cause: "answer broke off" };
     };
-    if !reply.answer.closes && ready(&mut connection).await {
+    if !reply.answer.closes && connection.is_usable() {
         guard.keep();
         member.connections.checkin(Instant::now(), connection, reply.answer.keep);
     }
@@ -96,55 +93,38 @@
     Ended::Replied(reply)
 }
 
-/// Returns whether the connection can carry another request. Bytes after an answer close it, which
-/// shows once its task has run.
-async fn ready(connection: &mut Connection) -> bool {
-    tokio::task::yield_now().await;
-    connection.is_ready()
-}
-
 async fn collect(response: Response<Incoming>, answer: Answer) -> Option<Reply> {
     let (parts, mut body) = response.into_parts();
-    let mut whole = BytesMut::new();
+    let mut whole = Bytes::new();
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.ok()?.into_data() else { continue };
         if whole.len() + data.len() > MOST_BODY {
             return None;
         }
-        whole.extend_from_slice(&data);
+        // Most answers come in one piece, which needs no copy.
+        whole = if whole.is_empty() { data } else { [whole, data].concat().into() };
     }
-    Some(Reply { status: parts.status, headers: parts.headers, body: whole.freeze(), answer })
+    Some(Reply { status: parts.status, headers: parts.headers, body: whole, answer })
 }
 
 async fn dial(member: &Member, metrics: &Metrics) -> Option<Connection> {
     member.connections.opening();
     let guard = Guard(Some(member));
     metrics.connections.inc();
-    let stream = TcpStream::connect(member.upstream.address);
-    let stream = match tokio::time::timeout(DIAL_TIME, stream).await {
-        Ok(Ok(stream)) => stream,
+    match tokio::time::timeout(DIAL_TIME, Connection::open(member.upstream.address)).await {
+        Ok(Ok(connection)) => {
+            guard.keep();
+            Some(connection)
+        }
         Ok(Err(error)) => {
             log::debug!(upstream = member.upstream.id, error:%; "connection refused");
-            return None;
+            None
         }
         Err(_) => {
             log::debug!(upstream = member.upstream.id; "connection timed out");
-            return None;
+            None
         }
-    };
-    if let Err(error) = stream.set_nodelay(true) {
-        log::debug!(upstream = member.upstream.id, error:%; "connection closed at once");
-        return None;
     }
-    let (connection, task) = http1::handshake(TokioIo::new(stream)).await.ok()?;
-    let upstream = Arc::clone(&member.upstream);
-    tokio::task::spawn_local(async move {
-        if let Err(error) = task.await {
-            log::debug!(upstream = upstream.id, error:%; "connection broke");
-        }
-    });
-    guard.keep();
-    Some(connection)
 }
 
 /// Counts a connection as closed unless it is kept.
--- a/crates/node/src/fan.rs
+++ b/crates/node/src/fan.rs
@@ -1,9 +1,12 @@
 //! The sendings of one request: one part, or one for each shard of a query.
 
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use futures::future::LocalBoxFuture;
+use futures::stream::{FuturesUnordered, StreamExt};
 use hedge::{Attempts, End, Need};
 use http_body_util::Full;
 use hyper::header::HeaderValue;
@@ -11,8 +14,7 @@
 use pick::{Outcome, Token};
 use platform::Call;
 use table::{Route, ServiceName};
-use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
-use tokio::time::sleep_until;
+use tokio::time::{Sleep, sleep_until};
 
 use crate::exchange::{Ended, Reply, exchange};
 use crate::fleet::{Fleet, Pace};
@@ -85,8 +87,8 @@
     parts: Vec<Part>,
     spare: usize,
     next_due: Option<Instant>,
-    results: UnboundedReceiver<Finished>,
-    sender: UnboundedSender<Finished>,
+    sendings: FuturesUnordered<LocalBoxFuture<'static, Finished>>,
+    timer: Pin<Box<Sleep>>,
 }
 
 impl Fan {
@@ -99,7 +101,6 @@
         services: &[ServiceName],
         least: usize,
     ) -> Self {
-        let (sender, results) = unbounded_channel();
         let part = |service: &ServiceName| Part {
             service: service.clone(),
             attempts: Attempts::new(route.idempotent, route.attempts),
@@ -120,8 +121,8 @@
             parts: services.iter().map(part).collect(),
             spare: services.len().saturating_sub(least),
             next_due: None,
-            results,
-            sender,
+            sendings: FuturesUnordered::new(),
+            timer: Box::pin(sleep_until(Instant::now().into())),
         }
     }
 
@@ -155,16 +156,18 @@
     /// Waits for the next event, up to `until`.
     pub async fn next(&mut self, until: Instant) -> Event {
         loop {
-            let due = self.next_due.map_or(until, |due| due.min(until));
+            let due = self.next_due.map_or(until, |due| due.min(until)).into();
+            if self.timer.deadline() != due {
+                self.timer.as_mut().reset(due);
+            }
             tokio::select! {
                 biased;
-                finished = self.results.recv() => {
-                    let finished = finished.expect("the sender is kept beside the receiver");
+                Some(finished) = self.sendings.next() => {
                     if let Some(event) = self.finish(Instant::now(), finished) {
                         return event;
                     }
                 }
-                () = sleep_until(due.into()) => {
+                () = self.timer.as_mut() => {
                     let now = Instant::now();
                     if now >= until {
                         return Event::Due;
@@ -286,7 +289,7 @@
             token,
             typical,
         };
-        tokio::task::spawn_local(sending.run(now, self.sender.clone()));
+        self.sendings.push(Box::pin(sending.run(now)));
     }
 
     /// Takes the end of a sending; returns what it means for the whole request.
@@ -344,7 +347,7 @@
     }
 }
 
-/// One sending in its own task.
+/// One sending.
 struct Sending {
     part: usize,
     member: Rc<Member>,
@@ -356,19 +359,14 @@
 }
 
 impl Sending {
-    async fn run(self, sent: Instant, results: UnboundedSender<Finished>) {
+    async fn run(self, sent: Instant) -> Finished {
         let id: &HeaderValue = &self.outgoing.call.id;
-        let work = exchange(&self.member, self.request(sent), id, &self.metrics);
-        let ended = tokio::select! {
-            ended = work => Some(ended),
-            () = abandoned(&results) => None,
-        };
-        let now = Instant::now();
-        self.learn(now, now - sent, ended.as_ref());
-        if let Some(ended) = ended {
-            // The request may be answered already.
-            let _ = results.send(Finished { part: self.part, member: self.member, ended });
-        }
+        let mut watch = Watch { sending: &self, sent, ended: false };
+        let ended = exchange(&self.member, self.request(sent), id, &self.metrics).await;
+        watch.ended = true;
+        self.learn(Instant::now(), sent.elapsed(), Some(&ended));
+        drop(watch);
+        Finished { part: self.part, member: self.member, ended }
     }
 
     fn request(&self, now: Instant) -> Request<Full<Bytes>> {
@@ -417,8 +415,27 @@
 /// Added to that time, for pauses of upstreams that last a tenth of a second or two.
 const SILENCE_MARGIN: Duration = Duration::from_millis(200);
 
-/// Waits until nobody waits for the answer, and a short time more.
-async fn abandoned(results: &UnboundedSender<Finished>) {
-    results.closed().await;
-    tokio::time::sleep(ABANDON_GRACE).await;
+/// Records a sending that is given up before it has ended.
+struct Watch<'a> {
+    sending: &'a Sending,
+    sent: Instant,
+    ended: bool,
+}
+
+impl Drop for Watch<'_> {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.sending.learn(Instant::now(), self.sent.elapsed(), None);
+        }
+    }
+}
+
+impl Drop for Fan {
+    fn drop(&mut self) {
+        if self.sendings.is_empty() {
+            return;
+        }
+        let rest = std::mem::take(&mut self.sendings);
+        tokio::task::spawn_local(tokio::time::timeout(ABANDON_GRACE, rest.for_each(async |_| {})));
+    }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 //! What is decided is in crates without I/O (`pick`, `hedge`, `gather`, `feed`, `table`); this crate
 //! connects them to sockets and clocks. See `docs/design/platform.md`.
 
+mod connection;
 mod control;
 mod directory;
 mod exchange;
--- a/crates/node/src/member.rs
+++ b/crates/node/src/member.rs
@@ -5,12 +5,11 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use http_body_util::Full;
-use hyper::body::Bytes;
-use hyper::client::conn::http1::SendRequest;
 use pick::Replica;
 use table::Upstream;
 
+use crate::connection::Connection;
+
 /// Time before an upstream's idle timeout at which a connection is no longer used, for the way and
 /// for late timers.
 const IDLE_MARGIN: Duration = Duration::from_millis(600);
@@ -18,9 +17,6 @@
 /// Idle timeout of an upstream that names none.
 const DEFAULT_KEEP: Duration = Duration::from_secs(4);
 
-/// A connection that carries one request at a time.
-pub type Connection = SendRequest<Full<Bytes>>;
-
 /// One upstream.
 pub struct Member {
     /// What the upstream registered.
@@ -77,8 +73,8 @@
     /// Takes the connection that was used last, if a usable one is idle.
     pub fn checkout(&self, now: Instant) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
-        while let Some(Idle { connection, until }) = idle.pop() {
-            if now < until && connection.is_ready() {
+        while let Some(Idle { mut connection, until }) = idle.pop() {
+            if now < until && connection.is_usable() {
                 return Some(connection);
             }
             self.closed();
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -4,13 +4,13 @@
 
 use std::collections::BTreeMap;
 use std::future::Future;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use kernel::{Process, Running};
 use platform::Settings;
 use serde_json::json;
-use standin::{Kv, Shard};
+use standin::{Kv, Shard, free_address};
 
 /// Time after which a test gives up waiting; far beyond what any step takes.
 const PATIENCE: Duration = Duration::from_secs(30);
@@ -43,12 +43,6 @@
     }
 }
 
-/// Returns an address that was free a moment ago.
-pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("loopback has a free port");
-    listener.local_addr().expect("a bound listener has an address")
-}
-
 /// Returns a record that begins with `first`.
 pub fn record(first: u8) -> Vec<u8> {
     let mut record = vec![0; 16];
--- /dev/null
+++ b/crates/soak/src/lib.rs
@@ -0,0 +1,18 @@
+//! A randomized soak of the real programs.
+//!
+//! Hosts run as separate processes; the store and the upstreams are stand-ins behind loopback
+//! proxies. A seed draws overlapping series of faults, all from outside the processes: signals,
+//! proxies that delay, reset, cut one way or fall silent, upstreams and a store that misbehave, and
+//! operators' edits. Clients check every answer while the faults go on, and the whole history at
+//! the end. See `docs/design/soak.md`.
+
+mod client;
+mod faults;
+mod host;
+mod proxy;
+mod run;
+mod verdict;
+mod world;
+
+pub use crate::run::{Plan, run};
+pub use crate::verdict::{Broken, Report};
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,6 +9,7 @@
 mod fleet;
 mod kv;
 mod platform;
+mod port;
 mod recorder;
 mod shard;
 mod upstream;
@@ -17,6 +18,7 @@
 pub use crate::fleet::Fleet;
 pub use crate::kv::{Kv, Mood};
 pub use crate::platform::{Faults, Platform};
+pub use crate::port::free_address;
 pub use crate::recorder::Recorder;
 pub use crate::shard::{Fault, Run, Shard};
 pub use crate::upstream::{Spec, Upstream};
