--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -20,6 +20,10 @@
 /// forgotten, and what crosses the edges of a span, must fit beside it.
 const EXTRA_SHARE: f64 = 0.75;
 
+/// Part of the extra requests beside the ratio that hosts share which callers are sent to; others
+/// get requests only from callers with an old answer of the directory.
+const DIALER_SLACK: f64 = 0.9;
+
 /// Part of an upstream's connections that all hosts together open; hosts that come and go see
 /// different numbers of hosts for a moment.
 const CONNECTION_SHARE: f64 = 0.85;
@@ -106,6 +110,7 @@
     splits: BTreeMap<Box<str>, Split>,
     random: StdRng,
     dialers: Option<(Instant, usize)>,
+    slack: f64,
 }
 
 /// The hosts that callers are sent to.
@@ -137,6 +142,7 @@
             splits: BTreeMap::new(),
             random: StdRng::seed_from_u64(seed),
             dialers: None,
+            slack: 0.0,
         };
         Self { settings, state: RefCell::new(state) }
     }
@@ -175,7 +181,8 @@
         }
         state.members = members;
         state.services = services;
-        let slack = self.slack(&view);
+        state.slack = self.slack(&view, &dialers);
+        let slack = state.slack;
         state.allowances.values_mut().for_each(|allowance| allowance.set_slack(slack));
         if let Some(table) = &view.table {
             let routes = || table.routes().map(|route| &route.name);
@@ -253,12 +260,19 @@
         }
         let bounds = &self.settings.bounds;
         let ratio = bounds.extra_ratio * EXTRA_SHARE;
-        let allowance = Allowance::new(now, bounds.extra_span, ratio, self.slack(&state.view));
+        let allowance = Allowance::new(now, bounds.extra_span, ratio, state.slack);
         act(state.allowances.entry(service.into()).or_insert(allowance))
     }
 
-    fn slack(&self, view: &View) -> f64 {
-        self.settings.bounds.extra_slack * EXTRA_SHARE / view.hosts.len().max(1) as f64
+    /// Returns this host's share of the extra requests that do not depend on load. Nearly all of
+    /// them go to the hosts that callers are sent to.
+    fn slack(&self, view: &View, dialers: &Dialers) -> f64 {
+        let all = self.settings.bounds.extra_slack * EXTRA_SHARE;
+        if dialers.own {
+            return all * DIALER_SLACK / dialers.count as f64;
+        }
+        let others = view.hosts.len().saturating_sub(dialers.count).max(1);
+        all * (1.0 - DIALER_SLACK) / others as f64
     }
 
     fn adopt(
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -34,8 +34,9 @@
 /// Part of the grace period after which a stopping host ends whatever is left.
 const CLOSE_SHARE: f64 = 0.93;
 
-/// Time that an answer needs back to the caller, beside the part of the objective below.
-const RETURN_TIME: Duration = Duration::from_millis(4);
+/// Time for the way from and to the caller, beside the part of the objective below. Callers may be
+/// 3 ms away, and the platform does not say how far.
+const RETURN_TIME: Duration = Duration::from_millis(7);
 
 /// Part of the objective kept for the way from and to the caller and for late timers.
 const RETURN_SHARE: f64 = 0.06;
