Find another source of news before it is overdue

The store is silent for 28 of 79 hosts. Hosts that had lost it waited up to 3.1 s for each retry, and asked their own followers, which asked them, until all their news was old. Ruled out: the store (others had the version after 0.1 s). Tests in crates/feed name the pattern.

--- a/crates/feed/src/source.rs
+++ b/crates/feed/src/source.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use xxhash_rust::xxh3::xxh3_64;
+
 /// First time for which a source that failed is left alone.
 const FIRST_PENALTY: Duration = Duration::from_millis(400);
 
@@ -82,31 +84,36 @@
         self.failed.remove(&source);
     }
 
+    /// Returns whether a source failed when it was last tried, so that it should only be asked what
+    /// it can answer at once.
+    pub fn is_suspect(&self, source: Source) -> bool {
+        self.failed.contains_key(&source)
+    }
+
     fn blocked_until(&self, source: Source) -> Option<Instant> {
         self.failed.get(&source).map(|failure| failure.until)
     }
 
-    /// Orders the sources of a host whose news is old: the store, the hosts of other failure
-    /// domains, and then its own.
+    /// Orders the sources of a host whose news is old: earlier hosts of its failure domain come last.
     fn order_of_old(&self, peers: &[Peer]) -> Vec<Source> {
-        let near = |source: &Source| {
-            let known = |peer: &&Peer| Source::Peer(peer.address) == *source;
-            peers.iter().find(known).is_some_and(|peer| peer.domain == self.own.domain)
-        };
         let mut order = self.order(peers);
-        order.sort_by_key(|source| (*source != Source::Store, near(source)));
+        let store = order.iter().position(|source| *source == Source::Store).unwrap_or(0);
+        order.rotate_left(store);
         order
     }
 
-    /// Orders the sources: earlier hosts of the own failure domain, the store, and then all others.
+    /// Orders the sources: earlier hosts of the own failure domain, the store, hosts of other failure
+    /// domains, and the later ones of the own, which follow this host themselves.
     fn order(&self, peers: &[Peer]) -> Vec<Source> {
         let others = || peers.iter().filter(|peer| peer.name != self.own.name);
         let near = |peer: &&Peer| peer.domain == self.own.domain;
         let earlier = |peer: &&Peer| near(peer) && peer.name < self.own.name;
+        // Hosts differ in whom they ask first, so that one host is not asked by all.
+        let spread = |peer: &Peer| xxh3_64(format!("{} {}", self.own.name, peer.name).as_bytes());
         let mut first: Vec<&Peer> = others().filter(earlier).collect();
         first.sort_by(|a, b| a.name.cmp(&b.name));
         let mut rest: Vec<&Peer> = others().filter(|peer| !earlier(peer)).collect();
-        rest.sort_by_key(|peer| (!near(peer), &peer.name));
+        rest.sort_by_cached_key(|peer| (near(peer), spread(peer)));
         let peer = |peer: &Peer| Source::Peer(peer.address);
         let mut order: Vec<Source> = first.into_iter().map(peer).collect();
         order.push(Source::Store);
--- a/crates/feed/tests/feed.rs
+++ b/crates/feed/tests/feed.rs
@@ -194,6 +194,29 @@
     assert_eq!(alone.choose(now + last, &[], false), Ok(Source::Store));
 }
 
+/// Played as trouble-1 of orzechpol-szukaj-grown: a host that had lost the store asked its followers,
+/// which asked it, until all their news was old.
+#[test]
+fn host_that_lost_the_store_does_not_follow_its_followers() {
+    let now = Instant::now();
+    let mut first = Sources::new(peer("a1", "a", 1), vec![]);
+    first.failed(now, Source::Store, 0.5);
+    assert_eq!(first.choose(now, &peers(), false), Ok(Source::Peer(address(4))));
+}
+
+/// Found on the same day: such a host waited for the store for seconds, while its followers' news
+/// grew old.
+#[test]
+fn source_that_failed_is_suspect_until_it_works() {
+    let now = Instant::now();
+    let mut first = Sources::new(peer("a1", "a", 1), vec![]);
+    assert!(!first.is_suspect(Source::Store));
+    first.failed(now, Source::Store, 0.5);
+    assert!(first.is_suspect(Source::Store));
+    first.worked(Source::Store);
+    assert!(!first.is_suspect(Source::Store));
+}
+
 #[test]
 fn seeds_are_tried_when_nothing_else_is_known() {
     let now = Instant::now();
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -28,7 +28,7 @@
 const FOLLOW_SHARE: f64 = 0.3;
 
 /// Part of that time after which a source's news counts as old.
-const STALE_SHARE: f64 = 0.72;
+const STALE_SHARE: f64 = 0.62;
 
 /// Pause after changes before the store is watched again, so that a burst of changes costs few
 /// calls.
@@ -44,6 +44,9 @@
 /// Time for which callers may keep an answer of the directory.
 const DIRECTORY_LIFETIME: Duration = Duration::from_secs(2);
 
+/// Pause after a source that failed; a host whose news is old asks this often at most.
+const FAILED_PAUSE: Duration = Duration::from_millis(100);
+
 /// Pause after a source that answered at once without changes, so that a faulty one cannot spin.
 const LEAST_TURN: Duration = Duration::from_millis(20);
 
@@ -138,16 +141,20 @@
                 log::info!(source:? = source, revision = self.mirror.borrow().revision(); "reading news");
                 last = Some(source);
             }
-            match source {
+            let heard = match source {
                 Source::Store => self.read_store(&store).await,
                 Source::Peer(_) => self.read_peer(source).await,
+            };
+            if !heard {
+                tokio::time::sleep(FAILED_PAUSE).await;
             }
         }
     }
 
-    async fn read_store(&self, store: &platform::Client) {
+    /// Reads from the store; returns whether it answered.
+    async fn read_store(&self, store: &platform::Client) -> bool {
         let after = self.mirror.borrow().revision();
-        let wait = self.part(WATCH_SHARE);
+        let wait = self.patience(Source::Store, WATCH_SHARE);
         self.shared.metrics.store_calls.inc();
         let result = if after == 0 { store.read().await } else { store.watch(after, wait).await };
         let result = match result {
@@ -165,23 +172,23 @@
                 self.hear(now, now);
                 let pause = if self.take(now, batch) { WATCH_PAUSE } else { LEAST_TURN };
                 tokio::time::sleep(pause).await;
+                true
             }
             Err(error) => {
                 self.shared.metrics.store_failures.inc();
                 self.troubled.set(true);
                 self.fail(now, Source::Store, &error.to_string());
+                false
             }
         }
     }
 
-    async fn read_peer(&self, source: Source) {
-        let Source::Peer(address) = source else { return };
+    /// Reads from another host; returns whether its news was fresh.
+    async fn read_peer(&self, source: Source) -> bool {
+        let Source::Peer(address) = source else { return false };
         let after = self.mirror.borrow().revision();
         let asked = Instant::now();
-        let wait = match self.left_fresh(asked) {
-            Duration::ZERO => self.part(FOLLOW_SHARE),
-            left => self.part(FOLLOW_SHARE).min(left),
-        };
+        let wait = self.patience(source, FOLLOW_SHARE).min(self.left_fresh(asked));
         let question = follow::Question { after, wait };
         let result = follow::ask(&self.http, address, &question).await;
         let now = Instant::now();
@@ -191,16 +198,20 @@
                 let changed = self.take(now, batch);
                 if age > self.part(STALE_SHARE) {
                     self.fail(now, source, "old news");
-                } else {
-                    self.sources.borrow_mut().worked(source);
-                    // The way to the source counts as age, since its answer may have been late.
-                    let way = (now - asked).saturating_sub(question.wait);
-                    self.hear(now, now.checked_sub(age + way).unwrap_or(now));
+                    return false;
                 }
+                self.sources.borrow_mut().worked(source);
+                // The way to the source counts as age, since its answer may have been late.
+                let way = (now - asked).saturating_sub(question.wait);
+                self.hear(now, now.checked_sub(age + way).unwrap_or(now));
                 let pause = if changed { FOLLOW_PAUSE } else { LEAST_TURN };
                 tokio::time::sleep(pause).await;
+                true
+            }
+            Err(error) => {
+                self.fail(now, source, &error.to_string());
+                false
             }
-            Err(error) => self.fail(now, source, &error.to_string()),
         }
     }
 
@@ -377,6 +388,14 @@
         reply(StatusCode::OK, "text/plain; version=0.0.4", self.shared.metrics.text())
     }
 
+    /// Returns how long to wait for changes at a source. A host whose news is old cannot wait to find
+    /// out that its source is silent, and those that follow it should not wait while it does.
+    fn patience(&self, source: Source, share: f64) -> Duration {
+        let old = self.left_fresh(Instant::now()).is_zero();
+        let suspect = self.sources.borrow().is_suspect(source);
+        if old || suspect { Duration::ZERO } else { self.part(share) }
+    }
+
     /// Returns how long the news stays fresh, zero if it is old or if there is none yet.
     fn left_fresh(&self, now: Instant) -> Duration {
         let until = self.heard.get().map(|heard| heard + self.part(STALE_SHARE));
