Know how far a host is behind; wait for room after refusals; connect ahead

Mends: the directory compares strength over all failure domains; limit::Backlog tells what a request may have waited unread, which shortens its deadline, and refuses what would be late anyway.

--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! A [`Gate`] stands in the owner before each upstream: slots, cold start, and a short queue that
 //! refuses at once what cannot finish in time. [`Conns`] counts connections to it. A [`Window`]
-//! stands in the broker before each service and finds how many searches the upstreams carry.
+//! stands in the broker before each service and finds how many searches the upstreams carry. A
+//! [`Backlog`] tells how far a thread is behind with what it has not read yet.
 //! Reasons are in `docs/design/limits.md`.
 //!
 //! ```
@@ -17,10 +18,12 @@
 //! assert_eq!(gate.offer(now, 2, deadline), limit::Verdict::Wait);
 //! ```
 
+mod backlog;
 mod conns;
 mod gate;
 mod window;
 
+pub use crate::backlog::{Backlog, TICK};
 pub use crate::conns::Conns;
 pub use crate::gate::{Bound, Gate, Phase, Reason, Sign, Step, Ticket, Verdict};
 pub use crate::window::Window;
--- /dev/null
+++ b/crates/limit/tests/backlog.rs
@@ -0,0 +1,48 @@
+//! A thread that is behind knows it, and begins nothing that would be late.
+
+use std::time::{Duration, Instant};
+
+use limit::{Backlog, TICK};
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+#[test]
+fn thread_that_keeps_up_admits_everything() {
+    let start = Instant::now();
+    let mut backlog = Backlog::new(start);
+    for turn in 1..50 {
+        let now = start + TICK * turn + ms(3);
+        backlog.tick(now);
+        assert_eq!(backlog.waited(now), Duration::ZERO);
+        assert!(backlog.admits(now + ms(5), ms(1)));
+    }
+}
+
+/// Played as trouble-1 --seed 298366389806 of towpath-search-grown: an overloaded host read requests
+/// 600 ms after they had been sent, and gave upstreams time that their callers no longer had.
+#[test]
+fn requests_read_after_a_stall_have_waited() {
+    let start = Instant::now();
+    let mut backlog = Backlog::new(start);
+    let now = start + ms(620);
+    assert_eq!(backlog.waited(now), ms(600));
+    assert!(!backlog.admits(now, ms(80)));
+    assert!(backlog.admits(now, ms(4_000)));
+    backlog.tick(now);
+    assert_eq!(backlog.waited(now), ms(600));
+}
+
+#[test]
+fn stall_is_forgotten_soon() {
+    let start = Instant::now();
+    let mut backlog = Backlog::new(start);
+    let mut now = start + ms(620);
+    backlog.tick(now);
+    for _ in 0..5 {
+        now += TICK;
+        backlog.tick(now);
+    }
+    assert!(backlog.admits(now, ms(80)), "{:?}", backlog.waited(now));
+}
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -21,7 +21,8 @@
 /// Returns the hosts that callers of `domain` should connect to.
 ///
 /// Queries over many shards go to hosts beside the shards' replicas, so that only the merged answer
-/// crosses between failure domains.
+/// crosses between failure domains. Strong hosts are named first, and those of the caller's own
+/// failure domain only if they are strong: a weak host would be overloaded by a domain's callers.
 pub fn named(view: &View, domain: Option<&str>) -> Vec<Arc<Host>> {
     let hosts: Vec<_> =
         view.hosts.values().filter(|host| !view.out.contains(&host.domain)).collect();
@@ -31,10 +32,11 @@
     let best = hosts.iter().map(|host| of(&host.domain)).fold(0.0, f64::max);
     let covered = |host: &&&Arc<Host>| of(&host.domain) >= best - COVERAGE_SLACK;
     let able: Vec<_> = hosts.iter().filter(covered).copied().collect();
-    let near: Vec<_> = able.iter().filter(|host| Some(&*host.domain) == domain).copied().collect();
-    let mut chosen = strongest(&near);
+    let strong = strongest(&able);
+    let near = strong.iter().filter(|host| Some(&*host.domain) == domain).copied();
+    let mut chosen: Vec<_> = near.collect();
     if chosen.len() < LEAST_NAMED {
-        chosen = strongest(&able);
+        chosen = strong;
     }
     if chosen.len() < LEAST_NAMED {
         chosen = hosts;
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -93,6 +93,16 @@
     Ended::Replied(reply)
 }
 
+/// Opens a connection ahead of the first request, which would wait for it otherwise.
+pub async fn prepare(member: &Member, metrics: &Metrics) {
+    if !member.has_room() {
+        return;
+    }
+    if let Some(connection) = dial(member, metrics).await {
+        member.connections.checkin(Instant::now(), connection, None);
+    }
+}
+
 async fn collect(response: Response<Incoming>, answer: Answer) -> Option<Reply> {
     let (parts, mut body) = response.into_parts();
     let mut whole = Bytes::new();
--- a/crates/node/src/fan.rs
+++ b/crates/node/src/fan.rs
@@ -63,6 +63,7 @@
     service: ServiceName,
     attempts: Attempts,
     running: Vec<Rc<Member>>,
+    refused_by: Vec<Rc<Member>>,
     due: Option<Instant>,
     failure: Option<Reply>,
     sent: Option<Instant>,
@@ -105,6 +106,7 @@
             service: service.clone(),
             attempts: Attempts::new(route.idempotent, route.attempts),
             running: Vec::new(),
+            refused_by: Vec::new(),
             due: None,
             failure: None,
             sent: None,
@@ -238,11 +240,20 @@
             self.fleet.count_request(now, &part.service);
         }
         let members = self.fleet.members(&part.service);
-        let allowed = members.iter().filter(|member| part.attempts.may_send(&member.upstream.id));
+        let allowed = members.iter().filter(|member| {
+            part.attempts.may_send(&member.upstream.id)
+                && !part.refused_by.iter().any(|refused| Rc::ptr_eq(refused, member))
+        });
         let typical = self.pace.borrow().typical();
         let Some(member) = self.fleet.choose(now, typical, allowed) else {
-            part.trouble = Some("no upstream with room");
-            self.park(now, index);
+            if part.refused_by.is_empty() {
+                part.trouble = Some("no upstream with room");
+                self.park(now + PARK_TIME, index);
+            } else {
+                // A full upstream has room again when one of its requests has ended.
+                part.refused_by.clear();
+                self.park(now + (typical / 2).max(PARK_TIME), index);
+            }
             return true;
         };
         let need = if self.spare > 0 { Need::Spare } else { Need::Answer };
@@ -255,8 +266,7 @@
         true
     }
 
-    fn park(&mut self, now: Instant, index: usize) {
-        let due = now + PARK_TIME;
+    fn park(&mut self, due: Instant, index: usize) {
         self.parts[index].due = Some(due);
         self.wake_at(due);
     }
@@ -312,6 +322,7 @@
             }
             Ended::Refused { .. } => {
                 part.trouble = Some("refused");
+                part.refused_by.push(Rc::clone(&member));
                 End::Refused
             }
             Ended::Unsent => End::Unsent,
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -152,8 +152,9 @@
         Arc::clone(&self.state.borrow().view)
     }
 
-    /// Takes a new view: upstreams that it does not name get nothing more.
-    pub fn update(&self, now: Instant, view: Arc<View>) {
+    /// Takes a new view: upstreams that it does not name get nothing more. Returns those that are new
+    /// and that callers' requests will soon go to.
+    pub fn update(&self, now: Instant, view: Arc<View>) -> Vec<Rc<Member>> {
         let state = &mut *self.state.borrow_mut();
         let names = dialers(&view);
         let dialers = Dialers {
@@ -162,6 +163,7 @@
         };
         let mut services: BTreeMap<ServiceName, Vec<Rc<Member>>> = BTreeMap::new();
         let mut members = BTreeMap::new();
+        let mut new = Vec::new();
         for (name, upstreams) in &view.upstreams {
             let most = connections(&view, name, &dialers);
             for upstream in upstreams {
@@ -175,6 +177,9 @@
                 if let Some(cold) = member.replica.borrow_mut().cold_mut() {
                     cold.set_spacing(self.cold_spacing(&view, upstream));
                 }
+                if dialers.own && !state.members.contains_key(&upstream.id) {
+                    new.push(Rc::clone(&member));
+                }
                 members.insert(upstream.id.clone(), Rc::clone(&member));
                 services.entry(name.clone()).or_default().push(member);
             }
@@ -190,6 +195,7 @@
             state.splits.retain(|name, _| routes().any(|route| route == name));
         }
         state.view = view;
+        new
     }
 
     /// Returns the upstreams of a service.
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -1,6 +1,6 @@
 //! Callers' requests.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::net::TcpListener;
 use std::rc::Rc;
@@ -16,11 +16,12 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use limit::{Backlog, TICK};
 use platform::Call;
 use table::{Limits, Route, ServiceName, Table, Target, View};
 use tokio::sync::watch;
 
-use crate::exchange::Reply;
+use crate::exchange::{Reply, prepare};
 use crate::fan::{Event, Fan, Outgoing};
 use crate::fleet::Fleet;
 use crate::metrics::Status;
@@ -38,6 +39,10 @@
 /// 3 ms away, and the platform does not say how far.
 const RETURN_TIME: Duration = Duration::from_millis(7);
 
+/// Time over which a host opens first connections to new upstreams, which register some seconds before
+/// they get requests.
+const PREPARE_TIME: Duration = Duration::from_millis(800);
+
 /// Part of the objective kept for the way from and to the caller and for late timers.
 const RETURN_SHARE: f64 = 0.06;
 
@@ -50,6 +55,9 @@
 /// When callers come back after upstreams refused; their queues are milliseconds long.
 const RETRY_REFUSED: Duration = Duration::from_millis(40);
 
+/// When callers come back after this host was behind; they take another one.
+const RETRY_BEHIND: Duration = Duration::from_millis(10);
+
 /// When callers come back after no upstream was known; a new one takes about a heartbeat.
 const RETRY_NONE: Duration = Duration::from_millis(300);
 
@@ -64,6 +72,7 @@
     leaving: Cell<bool>,
     open: Cell<usize>,
     answered: Cell<u32>,
+    backlog: RefCell<Backlog>,
 }
 
 /// An answer, and why it is what it is.
@@ -86,16 +95,35 @@
             leaving: Cell::new(false),
             open: Cell::new(0),
             answered: Cell::new(0),
+            backlog: RefCell::new(Backlog::new(Instant::now())),
         });
+        tokio::task::spawn_local(Rc::clone(&front).tick());
+        let metrics = Arc::clone(&front.shared.metrics);
         tokio::task::spawn_local(async move {
             while views.changed().await.is_ok() {
                 let view = Arc::clone(&views.borrow_and_update());
-                fleet.update(Instant::now(), view);
+                for member in fleet.update(Instant::now(), view) {
+                    let metrics = Arc::clone(&metrics);
+                    // Hosts spread their connections, since each takes a slot for a moment.
+                    let delay = PREPARE_TIME.mul_f64(rand::random());
+                    tokio::task::spawn_local(async move {
+                        tokio::time::sleep(delay).await;
+                        prepare(&member, &metrics).await;
+                    });
+                }
             }
         });
         front.accept(listener).await;
     }
 
+    /// Ticks for as long as the thread runs.
+    async fn tick(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(TICK).await;
+            self.backlog.borrow_mut().tick(Instant::now());
+        }
+    }
+
     async fn accept(self: Rc<Self>, listener: TcpListener) {
         let listener = adopt(listener);
         let (close, closing) = watch::channel(false);
@@ -161,7 +189,9 @@
     }
 
     async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
-        let arrival = Instant::now();
+        let now = Instant::now();
+        let waited = self.backlog.borrow().waited(now);
+        let arrival = now.checked_sub(waited).unwrap_or(now);
         let call = Call::read(request.headers());
         let id: Box<str> = call.as_ref().map_or("(none)", Call::id_text).into();
         let path: Box<str> = request.uri().path().into();
@@ -226,6 +256,13 @@
         let Some(route) = table.find(&call.host, target.path()) else {
             return Verdict::own(StatusCode::NOT_FOUND, None, "no route");
         };
+        if !self.backlog.borrow().admits(Instant::now(), route.objective) {
+            return Verdict::own(
+                StatusCode::SERVICE_UNAVAILABLE,
+                Some(RETRY_BEHIND),
+                "this host is behind with its requests",
+            );
+        }
         let time = call.patience.map_or(route.timeout, |patience| patience.min(route.timeout));
         let end = arrival + time.saturating_sub(FINAL_MARGIN);
         let outgoing = Outgoing { call, method, target: target.into(), body, end };
