--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -50,6 +50,12 @@
 /// Pause after a source that answered at once without changes, so that a faulty one cannot spin.
 const LEAST_TURN: Duration = Duration::from_millis(20);
 
+/// Pause between looks for lapsed entries while there are none.
+const EXPIRY_TURN: Duration = Duration::from_millis(500);
+
+/// Longest pause between looks whether the own entry is still in the store.
+const VISIBLE_TURN: Duration = Duration::from_millis(500);
+
 /// Listeners of the control thread.
 pub struct Listeners {
     /// For the platform's checks.
@@ -421,9 +427,3 @@
         view.hosts.values().map(peer).collect()
     }
 }
-
-/// Pause between looks for lapsed entries while there are none.
-const EXPIRY_TURN: Duration = Duration::from_millis(500);
-
-/// Longest pause between looks whether the own entry is still in the store.
-const VISIBLE_TURN: Duration = Duration::from_millis(500);
--- a/crates/node/src/fan.rs
+++ b/crates/node/src/fan.rs
@@ -34,6 +34,12 @@
 /// Parts without an answer that a log line names.
 const MOST_DESCRIBED: usize = 4;
 
+/// Time without an answer, in typical times, after which an upstream counts as lost.
+const SILENCE_RATIO: u32 = 10;
+
+/// Added to that time, for pauses of upstreams that last a tenth of a second or two.
+const SILENCE_MARGIN: Duration = Duration::from_millis(200);
+
 /// A request as it is sent to upstreams.
 pub struct Outgoing {
     /// What the caller's headers say.
@@ -420,12 +426,6 @@
     }
 }
 
-/// Time without an answer, in typical times, after which an upstream counts as lost.
-const SILENCE_RATIO: u32 = 10;
-
-/// Added to that time, for pauses of upstreams that last a tenth of a second or two.
-const SILENCE_MARGIN: Duration = Duration::from_millis(200);
-
 /// Records a sending that is given up before it has ended.
 struct Watch<'a> {
     sending: &'a Sending,
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -57,7 +57,7 @@
 const FIRST_TYPICAL: f64 = 0.1;
 
 /// Cost of going to another failure domain, in typical times; it pays for the bytes that cross.
-const FAR_COST: f64 = 2.0;
+const FAR_COST: f64 = 2.5;
 
 /// Recent latencies of the parts of one route.
 pub struct Pace {
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -7,9 +7,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use gather::{Gather, Part, Step};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
@@ -18,7 +17,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use limit::{Backlog, TICK};
 use platform::Call;
-use table::{Limits, Route, ServiceName, Table, Target, View};
+use table::{Route, ServiceName, Target, View};
 use tokio::sync::watch;
 
 use crate::exchange::{Reply, prepare};
@@ -27,6 +26,7 @@
 use crate::metrics::Status;
 use crate::server::{Body, accept, adopt};
 use crate::start::Shared;
+use crate::verdict::{Verdict, read_body};
 
 /// Part of the grace period for which a stopping host still takes requests, since callers keep its
 /// address for a while.
@@ -61,8 +61,10 @@
 /// When callers come back after no upstream was known; a new one takes about a heartbeat.
 const RETRY_NONE: Duration = Duration::from_millis(300);
 
-/// Most connections of callers that wait to be accepted or are open are bounded by descriptors;
-/// one answered request in this many is logged.
+/// Smallest buffer that the library takes.
+const MIN_BUFFER: usize = 8 * 1024;
+
+/// One complete answer in this many is logged, so that the log shows ordinary requests as well.
 const LOG_SAMPLE: u32 = 200;
 
 /// The traffic thread's server.
@@ -75,15 +77,6 @@
     backlog: RefCell<Backlog>,
 }
 
-/// An answer, and why it is what it is.
-struct Verdict {
-    response: Response<Body>,
-    cause: &'static str,
-    route: Option<Arc<Route>>,
-    missing: usize,
-    detail: String,
-}
-
 impl Front {
     /// Serves callers until the process has stopped.
     pub async fn run(shared: Shared, listener: TcpListener, mut views: watch::Receiver<Arc<View>>) {
@@ -274,7 +267,7 @@
                     Verdict::own(StatusCode::SERVICE_UNAVAILABLE, None, "split without weights")
                 }
             },
-            Target::Gather(shards) => self.gather(arrival, table, route, shards, outgoing).await,
+            Target::Gather(shards) => self.gather(arrival, route, shards, outgoing).await,
         };
         Verdict { route: Some(Arc::clone(route)), ..verdict }
     }
@@ -314,7 +307,6 @@
     async fn gather(
         &self,
         arrival: Instant,
-        _table: &Arc<Table>,
         route: &Route,
         shards: &table::Gather,
         outgoing: Outgoing,
@@ -379,47 +371,8 @@
     }
 }
 
-/// Smallest buffer that the library takes.
-const MIN_BUFFER: usize = 8 * 1024;
-
-impl Verdict {
-    /// Makes an answer of our own.
-    fn own(status: StatusCode, retry_after: Option<Duration>, cause: &'static str) -> Self {
-        let body = Full::new(Bytes::from_static(cause.as_bytes()));
-        let response = platform::refusal(status, retry_after, body);
-        Self { response, cause, route: None, missing: 0, detail: String::new() }
-    }
-
-    /// Passes an upstream's answer on.
-    fn reply(mut reply: Reply) -> Self {
-        platform::Answer::strip(&mut reply.headers);
-        let mut response = Response::new(Full::new(reply.body));
-        *response.status_mut() = reply.status;
-        *response.headers_mut() = reply.headers;
-        Self {
-            response,
-            cause: "answer of an upstream",
-            route: None,
-            missing: 0,
-            detail: String::new(),
-        }
-    }
-}
-
 /// Returns the part in an upstream's answer; only a success is one.
 fn part(reply: Reply) -> Option<Part> {
     let stamp = reply.answer.stamp.filter(|_| reply.status.is_success())?;
     Some(Part { stamp, records: reply.body })
 }
-
-async fn read_body(body: Incoming, limits: &Limits) -> Result<Bytes, (StatusCode, &'static str)> {
-    let whole = Limited::new(body, limits.body_bytes).collect();
-    match tokio::time::timeout(limits.read_time, whole).await {
-        Ok(Ok(whole)) => Ok(whole.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            Err((StatusCode::PAYLOAD_TOO_LARGE, "body too large"))
-        }
-        Ok(Err(_)) => Err((StatusCode::BAD_REQUEST, "body broke off")),
-        Err(_) => Err((StatusCode::REQUEST_TIMEOUT, "body too slow")),
-    }
-}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,6 +18,7 @@
 mod metrics;
 mod server;
 mod start;
+mod verdict;
 
 pub use crate::directory::named;
 pub use crate::start::start;
--- /dev/null
+++ b/crates/node/tests/directory.rs
@@ -0,0 +1,97 @@
+//! Callers are sent to strong hosts beside the replicas of the shards that they ask for.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use node::named;
+use table::{Gather, Host, Route, Table, Target, Upstream, View};
+
+fn address(last: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, last], 1))
+}
+
+fn view(hosts: &[(&str, &str, f64)], replicas: &[(&str, &str)]) -> View {
+    let gather =
+        Gather { shards: vec!["shard-0".into(), "shard-1".into()], top_k: 5, least_share: 0.5 };
+    let route = Route::builder("all", "a.example", "/").target(Target::Gather(gather)).build();
+    let mut view =
+        View { table: Some(Arc::new(Table::builder(1).route(route).build())), ..View::default() };
+    for (name, domain, power) in hosts {
+        let host = Host {
+            name: (*name).into(),
+            domain: (*domain).into(),
+            front: address(1),
+            peer: address(2),
+            power: *power,
+        };
+        view.hosts.insert((*name).into(), Arc::new(host));
+    }
+    let mut upstreams: BTreeMap<Box<str>, Vec<Arc<Upstream>>> = BTreeMap::new();
+    for (service, domain) in replicas {
+        let upstream = Upstream {
+            id: format!("{service}@{domain}").into(),
+            service: (*service).into(),
+            address: address(3),
+            domain: (*domain).into(),
+            slots: 2,
+            draining: false,
+            warmup_left: Duration::ZERO,
+            born: 0,
+        };
+        upstreams.entry((*service).into()).or_default().push(Arc::new(upstream));
+    }
+    view.upstreams = upstreams;
+    view
+}
+
+fn names(view: &View, domain: &str) -> Vec<Box<str>> {
+    named(view, Some(domain)).iter().map(|host| host.name.clone()).collect()
+}
+
+const EVERYWHERE: [(&str, &str); 4] =
+    [("shard-0", "a"), ("shard-1", "a"), ("shard-0", "b"), ("shard-1", "b")];
+
+#[test]
+fn callers_are_sent_to_their_own_failure_domain() {
+    let hosts = ["a1", "a2", "a3"].map(|name| (name, "a", 1.0));
+    let others = ["b1", "b2", "b3"].map(|name| (name, "b", 1.0));
+    let view = view(&[hosts, others].concat(), &EVERYWHERE);
+    assert_eq!(names(&view, "a"), ["a1".into(), "a2".into(), "a3".into()]);
+    assert_eq!(names(&view, "b"), ["b1".into(), "b2".into(), "b3".into()]);
+}
+
+#[test]
+fn few_hosts_of_the_own_domain_are_not_left_alone() {
+    let view = view(&[("a1", "a", 1.0), ("b1", "b", 1.0), ("b2", "b", 1.0)], &EVERYWHERE);
+    assert_eq!(names(&view, "a").len(), 3);
+}
+
+#[test]
+fn domain_without_replicas_sends_its_callers_elsewhere() {
+    let hosts = ["a1", "a2", "a3"].map(|name| (name, "a", 1.0));
+    let others = ["c1", "c2", "c3"].map(|name| (name, "c", 1.0));
+    let view = view(&[hosts, others].concat(), &EVERYWHERE);
+    assert_eq!(names(&view, "c"), ["a1".into(), "a2".into(), "a3".into()]);
+}
+
+/// Played as trouble-1 --seed 298366389806 of towpath-search-grown: the strong hosts of a failure
+/// domain were not listed for a moment, and all its callers were sent to weak ones.
+#[test]
+fn weak_hosts_are_not_named_while_strong_ones_are_elsewhere() {
+    let weak = ["a1", "a2", "a3"].map(|name| (name, "a", 0.12));
+    let strong = ["b1", "b2", "b3"].map(|name| (name, "b", 0.5));
+    let view = view(&[weak, strong].concat(), &EVERYWHERE);
+    assert_eq!(names(&view, "a"), ["b1".into(), "b2".into(), "b3".into()]);
+}
+
+#[test]
+fn hosts_of_a_domain_that_is_out_are_named_only_without_others() {
+    let hosts = [("a1", "a", 1.0), ("b1", "b", 1.0)];
+    let mut view = view(&hosts, &EVERYWHERE);
+    view.out.insert("a".into());
+    assert_eq!(names(&view, "a"), ["b1".into()]);
+    view.out.insert("b".into());
+    assert_eq!(names(&view, "a").len(), 2);
+}
--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -117,13 +117,11 @@
         let connection = self.connection.insert(kept);
         let response = connection.send_request(request).await.ok()?;
         read(record, &response);
-        match response.into_body().collect().await {
-            Ok(body) => record.body = body.to_bytes(),
-            Err(_) => {
-                record.cut = true;
-                return None;
-            }
-        }
+        let Ok(body) = response.into_body().collect().await else {
+            record.cut = true;
+            return None;
+        };
+        record.body = body.to_bytes();
         Some(())
     }
 }
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -96,8 +96,7 @@
     back: bool,
 ) {
     let mut buffer = vec![0; CHUNK];
-    loop {
-        let Ok(count @ 1..) = from.read(&mut buffer).await else { break };
+    while let Ok(count @ 1..) = from.read(&mut buffer).await {
         let (state, since) = *harm.borrow();
         match state {
             Harm::Delay(time) => tokio::time::sleep(time).await,
