Keep lapsed entries at followers as well

Followers applied the first news after the outage, which removes the lapsed entries, before they noted that the store had been away. Ruled out: the writers (they were back within two seconds). Conclusion: feed::Hearing decides before the news is applied, and sources tell followers how long they keep lapsed entries.

--- a/crates/feed/tests/feed.rs
+++ b/crates/feed/tests/feed.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use assert_matches::assert_matches;
-use feed::{Action, Batch, Item, Mirror, Peer, Registration, Removal, Source, Sources};
+use feed::{Action, Batch, Hearing, Item, Mirror, Peer, Registration, Removal, Source, Sources};
 use proptest::prelude::*;
 use table::{Fact, Host, Table};
 
@@ -102,6 +102,44 @@
     assert_eq!(view.hosts.keys().map(|key| &**key).collect::<Vec<_>>(), ["h2"]);
 }
 
+/// Played as deploy/days/zones.toml on towpath-search-grown: followers got the removals with the first
+/// news after an outage, took all upstreams for gone and refused every request for two seconds.
+#[test]
+fn news_after_an_outage_says_so_before_it_is_applied() {
+    let now = Instant::now();
+    let mut hearing = Hearing::new(ms(2_000));
+    assert!(!hearing.news(now, now, false));
+    assert!(!hearing.news(now + ms(1_900), now + ms(1_900), false));
+    let back = now + ms(4_000);
+    assert_eq!(hearing.left_fresh(back), Duration::ZERO);
+    assert!(hearing.news(back, back, false));
+    assert!(!hearing.news(back + ms(100), back + ms(100), false));
+}
+
+#[test]
+fn store_that_refused_a_call_was_away_for_its_watcher() {
+    let now = Instant::now();
+    let mut hearing = Hearing::new(ms(2_000));
+    hearing.news(now, now, true);
+    hearing.refused();
+    assert!(!hearing.news(now + ms(10), now + ms(10), false));
+    assert!(hearing.news(now + ms(20), now + ms(20), true));
+    assert!(!hearing.news(now + ms(30), now + ms(30), true));
+}
+
+#[test]
+fn follower_keeps_lapsed_entries_as_long_as_its_source() {
+    let now = Instant::now();
+    let mut mirror = Mirror::new(decode);
+    mirror.apply(now, put("h1", "x", 1));
+    mirror.settle(now, ms(300));
+    mirror.apply(now, remove("h1", 2));
+    assert_eq!(mirror.left_settling(now + ms(100)), ms(200));
+    assert_eq!(mirror.view().hosts.len(), 1);
+    assert!(mirror.expire(now + ms(300)));
+    assert_eq!(mirror.view().hosts.len(), 0);
+}
+
 #[test]
 fn entries_removed_while_the_store_is_well_are_gone_at_once() {
     let now = Instant::now();
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -1,13 +1,13 @@
 //! The control thread: the mirror of the store, the host's own entry, and questions.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::future::ready;
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use feed::{Action, Batch, Mirror, Peer, Registration, Source, Sources, Store};
+use feed::{Action, Batch, Hearing, Mirror, Peer, Registration, Source, Sources, Store};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use platform::Question;
@@ -44,6 +44,9 @@
 /// Time for which callers may keep an answer of the directory.
 const DIRECTORY_LIFETIME: Duration = Duration::from_secs(2);
 
+/// Age that stands for no news at all, in milliseconds: a year.
+const NO_NEWS_MS: u64 = 365 * 24 * 3_600_000;
+
 /// Pause after a source that failed; a host whose news is old asks this often at most.
 const FAILED_PAUSE: Duration = Duration::from_millis(100);
 
@@ -75,8 +78,7 @@
     own_key: Box<str>,
     mirror: RefCell<Mirror>,
     sources: RefCell<Sources>,
-    heard: Cell<Option<Instant>>,
-    troubled: Cell<bool>,
+    hearing: RefCell<Hearing>,
     publish: watch::Sender<Arc<View>>,
     revision: watch::Sender<u64>,
     http: reqwest::Client,
@@ -115,13 +117,13 @@
         };
         let peer = Peer { name: own.name.clone(), domain: own.domain.clone(), address: own.peer };
         let sources = Sources::new(peer, settings.seeds.clone());
+        let fresh_for = settings.bounds.news().mul_f64(STALE_SHARE);
         Self {
             own_key: platform::host_key(&own.name),
             own,
             mirror: RefCell::new(Mirror::new(platform::decode)),
             sources: RefCell::new(sources),
-            heard: Cell::new(None),
-            troubled: Cell::new(false),
+            hearing: RefCell::new(Hearing::new(fresh_for)),
             publish,
             revision: watch::channel(0).0,
             http: reqwest::Client::builder().no_proxy().build().unwrap_or_default(),
@@ -175,14 +177,14 @@
         match result {
             Ok(batch) => {
                 self.sources.borrow_mut().worked(Source::Store);
-                self.hear(now, now);
+                self.hear(now, now, true);
                 let pause = if self.take(now, batch) { WATCH_PAUSE } else { LEAST_TURN };
                 tokio::time::sleep(pause).await;
                 true
             }
             Err(error) => {
                 self.shared.metrics.store_failures.inc();
-                self.troubled.set(true);
+                self.hearing.borrow_mut().refused();
                 self.fail(now, Source::Store, &error.to_string());
                 false
             }
@@ -199,17 +201,19 @@
         let result = follow::ask(&self.http, address, &question).await;
         let now = Instant::now();
         match result {
-            Ok(News { age_ms, batch }) => {
+            Ok(News { age_ms, settling_ms, batch }) => {
                 let age = Duration::from_millis(age_ms);
+                // The way to the source counts as age, since its answer may have been late.
+                let way = (now - asked).saturating_sub(question.wait);
+                self.hear(now, now.checked_sub(age + way).unwrap_or(now), false);
+                let settling = Duration::from_millis(settling_ms);
+                self.mirror.borrow_mut().settle(now, settling);
                 let changed = self.take(now, batch);
                 if age > self.part(STALE_SHARE) {
                     self.fail(now, source, "old news");
                     return false;
                 }
                 self.sources.borrow_mut().worked(source);
-                // The way to the source counts as age, since its answer may have been late.
-                let way = (now - asked).saturating_sub(question.wait);
-                self.hear(now, now.checked_sub(age + way).unwrap_or(now));
                 let pause = if changed { FOLLOW_PAUSE } else { LEAST_TURN };
                 tokio::time::sleep(pause).await;
                 true
@@ -226,15 +230,13 @@
         self.sources.borrow_mut().failed(now, source, rand::random());
     }
 
-    /// Notes that the store was heard at `at`.
-    fn hear(&self, now: Instant, at: Instant) {
-        let gap = self.heard.get().map(|heard| at.saturating_duration_since(heard));
-        let long = gap.is_some_and(|gap| gap > self.part(STALE_SHARE));
-        if long || self.troubled.replace(false) {
-            log::info!(gap_ms = gap.unwrap_or_default().as_millis() as u64; "store is back");
+    /// Notes that the store was heard at `at`, before the news is applied.
+    fn hear(&self, now: Instant, at: Instant, direct: bool) {
+        let age_ms = self.age_ms(now);
+        if self.hearing.borrow_mut().news(now, at, direct) {
+            log::info!(age_ms; "store is back");
             self.mirror.borrow_mut().returned(now);
         }
-        self.heard.set(self.heard.get().max(Some(at)));
     }
 
     fn take(&self, now: Instant, batch: Batch) -> bool {
@@ -380,7 +382,9 @@
         } else {
             Batch::default()
         };
-        let news = News { age_ms: self.age_ms(Instant::now()), batch };
+        let now = Instant::now();
+        let settling_ms = self.mirror.borrow().left_settling(now).as_millis() as u64;
+        let news = News { age_ms: self.age_ms(now), settling_ms, batch };
         match serde_json::to_string(&news) {
             Ok(body) => reply(StatusCode::OK, "application/json", body),
             Err(error) => {
@@ -402,15 +406,13 @@
         if old || suspect { Duration::ZERO } else { self.part(share) }
     }
 
-    /// Returns how long the news stays fresh, zero if it is old or if there is none yet.
     fn left_fresh(&self, now: Instant) -> Duration {
-        let until = self.heard.get().map(|heard| heard + self.part(STALE_SHARE));
-        until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
+        self.hearing.borrow().left_fresh(now)
     }
 
     fn age_ms(&self, now: Instant) -> u64 {
-        let age = self.heard.get().map(|heard| now.saturating_duration_since(heard));
-        age.map_or(u64::MAX / 2, |age| age.as_millis() as u64)
+        let age = self.hearing.borrow().age(now);
+        age.map_or(NO_NEWS_MS, |age| age.as_millis() as u64)
     }
 
     fn part(&self, share: f64) -> Duration {
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -17,6 +17,8 @@
 pub struct News {
     /// Time since the host last heard the store, itself or through others, in milliseconds.
     pub age_ms: u64,
+    /// Time for which the host still keeps entries that lapse, in milliseconds.
+    pub settling_ms: u64,
     /// Changes after the revision that the follower named.
     pub batch: Batch,
 }
