Bound how long a lapsed entry is kept

The store refused one host and served the others. When it served that host again, the host took the store for back after an outage and kept entries removed since; its follower, whose news was 2 ms over its age, prolonged that. Ruled out: late news (the removal was known after 0.1 s). Mends: a store that answered others was not away; a lapsed entry has a bound from its removal; watches return after 0.4 instead of 0.5 of the bound, so that a follower's news is not old while all is well.

--- a/crates/feed/src/hearing.rs
+++ b/crates/feed/src/hearing.rs
@@ -7,18 +7,18 @@
 pub struct Hearing {
     fresh_for: Duration,
     heard: Option<Instant>,
-    refused: bool,
+    refused: Option<Instant>,
 }
 
 impl Hearing {
     /// Creates the state of a host that has heard nothing yet; news stays fresh for `fresh_for`.
     pub fn new(fresh_for: Duration) -> Self {
-        Self { fresh_for, heard: None, refused: false }
+        Self { fresh_for, heard: None, refused: None }
     }
 
     /// Notes that the store did not answer or refused a call.
-    pub fn refused(&mut self) {
-        self.refused = true;
+    pub fn refused(&mut self, now: Instant) {
+        self.refused = Some(now);
     }
 
     /// Takes news that the store gave at `at`. Returns whether the store was away before, so that
@@ -28,10 +28,11 @@
     /// first news after an outage.
     pub fn news(&mut self, now: Instant, at: Instant, direct: bool) -> bool {
         let old = self.heard.is_some() && self.left_fresh(now).is_zero();
-        let away = old || (direct && self.refused);
-        if direct {
-            self.refused = false;
+        // A store that answered others since it refused this host was not away.
+        if !direct && self.refused.is_some_and(|refused| refused < at) {
+            self.refused = None;
         }
+        let away = old || (direct && self.refused.take().is_some());
         self.heard = self.heard.max(Some(at));
         away
     }
--- a/crates/feed/src/mirror.rs
+++ b/crates/feed/src/mirror.rs
@@ -26,12 +26,20 @@
     fact: Fact,
 }
 
+/// An entry that may only have lapsed with the store.
+#[derive(Clone, Debug)]
+struct Lapsed {
+    fact: Fact,
+    /// When it counts as gone; fixed at its removal, so that later outages do not prolong it.
+    until: Instant,
+}
+
 /// A copy of the store's entries that only moves forward.
 #[derive(Debug)]
 pub struct Mirror {
     decode: Decode,
     entries: BTreeMap<Box<str>, Entry>,
-    lapsed: BTreeMap<Box<str>, Entry>,
+    lapsed: BTreeMap<Box<str>, Lapsed>,
     removals: BTreeMap<Revision, BTreeSet<Box<str>>>,
     forgotten: Revision,
     revision: Revision,
@@ -104,18 +112,14 @@
 
     /// Drops lapsed entries whose writers did not return; returns whether there were any.
     pub fn expire(&mut self, now: Instant) -> bool {
-        if self.settled.is_some_and(|settled| now < settled) {
-            return false;
-        }
-        self.settled = None;
-        let expired = !self.lapsed.is_empty();
-        self.lapsed.clear();
-        expired
+        let before = self.lapsed.len();
+        self.lapsed.retain(|_, lapsed| now < lapsed.until);
+        self.lapsed.len() < before
     }
 
     /// Returns when [`expire`](Self::expire) has work next.
     pub fn next_expiry(&self) -> Option<Instant> {
-        if self.lapsed.is_empty() { None } else { self.settled }
+        self.lapsed.values().map(|lapsed| lapsed.until).min()
     }
 
     /// Returns the changes after a revision, or all entries if removals since then are forgotten.
@@ -145,8 +149,9 @@
 
     /// Builds the view of all entries, lapsed ones included.
     pub fn view(&self) -> Arc<View> {
-        let all = self.entries.values().chain(self.lapsed.values());
-        Arc::new(View::new(all.map(|entry| &entry.fact)))
+        let present = self.entries.values().map(|entry| &entry.fact);
+        let lapsed = self.lapsed.values().map(|lapsed| &lapsed.fact);
+        Arc::new(View::new(present.chain(lapsed)))
     }
 
     fn put(&mut self, item: Item) -> bool {
@@ -183,8 +188,8 @@
             self.forgotten = oldest;
         }
         let may_return = matches!(entry.fact, Fact::Upstream(_) | Fact::Host(_));
-        if may_return && self.settled.is_some_and(|settled| now < settled) {
-            self.lapsed.insert(key, entry);
+        if let Some(until) = self.settled.filter(|settled| may_return && now < *settled) {
+            self.lapsed.insert(key, Lapsed { fact: entry.fact, until });
         }
         true
     }
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -22,7 +22,7 @@
 
 /// Part of the time in which news must have an effect that a watch of the store waits. A way to the
 /// store that fell silent shows only when the watch should have returned.
-const WATCH_SHARE: f64 = 0.5;
+const WATCH_SHARE: f64 = 0.4;
 
 /// Part of that time that a follower waits for its source.
 const FOLLOW_SHARE: f64 = 0.3;
@@ -184,7 +184,7 @@
             }
             Err(error) => {
                 self.shared.metrics.store_failures.inc();
-                self.hearing.borrow_mut().refused();
+                self.hearing.borrow_mut().refused(now);
                 self.fail(now, Source::Store, &error.to_string());
                 false
             }
