--- a/crates/demo/tests/processes.rs
+++ b/crates/demo/tests/processes.rs
@@ -1,12 +1,12 @@
 //! Separate processes on loopback, as the README starts them, and a SIGKILL under load.
 
 use std::io::{BufRead, BufReader};
-use std::net::TcpListener;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
+use standin::free_address;
 
 /// A process that is killed at the end of the test.
 struct Process(Child);
@@ -37,11 +37,6 @@
     serde_json::from_str(&line).unwrap_or_else(|error| panic!("{line}: {error}"))
 }
 
-fn free_address() -> String {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address").to_string()
-}
-
 async fn search(address: &str) -> Option<Value> {
     let client = reqwest::Client::builder().no_proxy().build().expect("a client");
     let call = client.post(format!("http://{address}/v1/search/live-faults"));
@@ -60,10 +55,10 @@
 
     let mut processes = Vec::new();
     let mut brokers = Vec::new();
-    let egresses: Vec<String> = (0..3).map(|_| free_address()).collect();
+    let egresses: Vec<String> = (0..3).map(|_| free_address().to_string()).collect();
     for (number, egress) in egresses.iter().enumerate() {
         let (host, domain) = (format!("host-{number}"), format!("perth-{}", number + 1));
-        let broker = free_address();
+        let broker = free_address().to_string();
         let common = ["--host", &host, "--domain", &domain];
         let args = [&common[..], &["--listen", egress, "--platform", &platform]].concat();
         processes.push(start("pistachio-egress", &args));
--- a/crates/gather/src/state.rs
+++ b/crates/gather/src/state.rs
@@ -72,11 +72,6 @@
         }
     }
 
-    /// Returns whether a shard still waits for its part.
-    pub fn is_open(&self, shard: usize) -> bool {
-        matches!(self.shards[shard], Shard::Open)
-    }
-
     /// Decides what to do at `now`.
     pub fn step(&self, now: Instant) -> Step {
         let enough = self.covered >= self.least;
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -240,12 +240,11 @@
     }
 
     fn take(&self, now: Instant, batch: Batch) -> bool {
-        let removes: Vec<_> = batch.removes.iter().map(|removal| &*removal.key).collect();
         log::debug!(
             full = batch.full,
             revision = batch.revision,
             puts = batch.puts.len(),
-            removes:? = removes;
+            removes = batch.removes.len();
             "news"
         );
         let changed = self.mirror.borrow_mut().apply(now, batch);
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -105,7 +105,7 @@
 struct State {
     view: Arc<View>,
     members: BTreeMap<UpstreamId, Rc<Member>>,
-    services: BTreeMap<ServiceName, Vec<Rc<Member>>>,
+    services: BTreeMap<ServiceName, Rc<[Rc<Member>]>>,
     allowances: BTreeMap<ServiceName, Allowance>,
     paces: BTreeMap<Box<str>, Rc<RefCell<Pace>>>,
     splits: BTreeMap<Box<str>, Split>,
@@ -211,7 +211,8 @@
             }
         }
         state.members = members;
-        state.services = services;
+        let shared = |(name, members): (_, Vec<_>)| (name, Rc::from(members));
+        state.services = services.into_iter().map(shared).collect();
         state.slack = self.slack(&view, &dialers);
         let slack = state.slack;
         state.allowances.values_mut().for_each(|allowance| allowance.set_slack(slack));
@@ -228,7 +229,7 @@
     }
 
     /// Returns the upstreams of a service.
-    pub fn members(&self, service: &str) -> Vec<Rc<Member>> {
+    pub fn members(&self, service: &str) -> Rc<[Rc<Member>]> {
         self.state.borrow().services.get(service).cloned().unwrap_or_default()
     }
 
--- a/crates/pick/src/replica.rs
+++ b/crates/pick/src/replica.rs
@@ -137,11 +137,6 @@
         self.reported.add(now, others, 0.5);
     }
 
-    /// Returns the number of requests in flight.
-    pub fn in_flight(&self) -> usize {
-        self.open.len()
-    }
-
     /// Returns whether the upstream may get a request at all.
     pub fn is_usable(&self, now: Instant) -> bool {
         self.cold.is_none_or(|cold| cold.allows(now))
