--- a/crates/feed/tests/feed.rs
+++ b/crates/feed/tests/feed.rs
@@ -22,8 +22,14 @@
         return Fact::Config(Arc::new(Table::builder(value.parse().unwrap_or(0)).build()));
     }
     let address: SocketAddr = "10.0.0.1:1".parse().expect("an address");
-    let host =
-        Host { name: key.into(), domain: value.into(), front: address, peer: address, power: 1.0 };
+    let host = Host {
+        name: key.into(),
+        domain: value.into(),
+        front: address,
+        peer: address,
+        relay: None,
+        power: 1.0,
+    };
     Fact::Host(Arc::new(host))
 }
 
--- a/crates/gather/src/state.rs
+++ b/crates/gather/src/state.rs
@@ -37,6 +37,7 @@
 #[derive(Clone, Debug)]
 pub struct Gather {
     shards: Vec<Shard>,
+    merged: Vec<Bytes>,
     least: usize,
     covered: usize,
     open: usize,
@@ -50,18 +51,43 @@
     /// Up to `soft` a missing part is worth waiting for; from then on an answer that still counts
     /// is worth more than the parts that it misses. At `end` the caller gets a final answer.
     pub fn new(shards: usize, least: usize, soft: Instant, end: Instant) -> Self {
-        Self { shards: vec![Shard::Open; shards], least, covered: 0, open: shards, soft, end }
+        Self {
+            shards: vec![Shard::Open; shards],
+            merged: Vec::new(),
+            least,
+            covered: 0,
+            open: shards,
+            soft,
+            end,
+        }
     }
 
     /// Takes a part; one for a shard that is in already is ignored.
     pub fn add(&mut self, shard: usize, part: Part) {
-        match self.shards[shard] {
-            Shard::In(_) => return,
-            Shard::Open => self.open -= 1,
-            Shard::Lost => {}
+        if !matches!(self.shards[shard], Shard::In(_)) {
+            self.put(shard, part);
         }
-        self.shards[shard] = Shard::In(part);
-        self.covered += 1;
+    }
+
+    /// Takes parts whose records are merged already.
+    ///
+    /// The records of one of them cannot be told from the others', so these parts replace any that
+    /// came in by themselves. A shard may be named in one such call only.
+    pub fn add_merged(
+        &mut self,
+        parts: impl IntoIterator<Item = (usize, Box<str>)>,
+        records: Bytes,
+    ) {
+        for (shard, stamp) in parts {
+            self.put(shard, Part { stamp, records: Bytes::new() });
+        }
+        self.merged.push(records);
+    }
+
+    fn put(&mut self, shard: usize, part: Part) {
+        let before = std::mem::replace(&mut self.shards[shard], Shard::In(part));
+        self.open -= usize::from(matches!(before, Shard::Open));
+        self.covered += usize::from(!matches!(before, Shard::In(_)));
     }
 
     /// Notes that no part of a shard can come any more.
@@ -96,7 +122,8 @@
 
     /// Returns the body of the answer: the `most` greatest records of the parts that are in.
     pub fn merge(&self, most: usize) -> Bytes {
-        greatest(self.parts().map(|part| &*part.records), most)
+        let merged = self.merged.iter().map(|records| &**records);
+        greatest(self.parts().map(|part| &*part.records).chain(merged), most)
     }
 
     fn parts(&self) -> impl Iterator<Item = &Part> {
--- a/crates/gather/tests/gather.rs
+++ b/crates/gather/tests/gather.rs
@@ -97,3 +97,41 @@
         prop_assert_eq!(merged.as_ref(), expected.as_slice());
     }
 }
+
+fn merged(parts: &[usize]) -> impl Iterator<Item = (usize, Box<str>)> {
+    parts.iter().map(|part| (*part, format!("m{part}").into()))
+}
+
+#[test]
+fn merged_parts_count_each_and_share_their_records() {
+    let now = Instant::now();
+    let mut gather = Gather::new(3, 3, now + ms(70), now + ms(1_000));
+    gather.add(0, part("a", 5));
+    gather.add_merged(merged(&[1, 2]), [[9; RECORD_BYTES], [1; RECORD_BYTES]].concat().into());
+    assert_eq!(gather.step(now), Step::Answer);
+    assert_eq!(gather.stamps().collect::<Vec<_>>(), ["a", "m1", "m2"]);
+    assert_eq!(gather.merge(2), [[9; RECORD_BYTES], [5; RECORD_BYTES]].concat());
+}
+
+/// A hedge was faster than the relay: the same shard must not count with two sets of records.
+#[test]
+fn merged_part_replaces_the_one_that_a_hedge_brought() {
+    let now = Instant::now();
+    let mut gather = Gather::new(2, 2, now + ms(70), now + ms(1_000));
+    gather.add(1, part("hedge", 9));
+    gather.add_merged(merged(&[0, 1]), [[9; RECORD_BYTES], [4; RECORD_BYTES]].concat().into());
+    gather.add(1, part("hedge", 9));
+    assert_eq!(gather.missing(), 0);
+    assert_eq!(gather.stamps().collect::<Vec<_>>(), ["m0", "m1"]);
+    assert_eq!(gather.merge(9), [[9; RECORD_BYTES], [4; RECORD_BYTES]].concat());
+}
+
+#[test]
+fn merged_part_counts_for_a_shard_that_was_given_up() {
+    let now = Instant::now();
+    let mut gather = Gather::new(2, 1, now + ms(70), now + ms(1_000));
+    gather.lose(0);
+    gather.add_merged(merged(&[0, 1]), vec![4; RECORD_BYTES].into());
+    assert_eq!(gather.step(now), Step::Answer);
+    assert_eq!(gather.missing(), 0);
+}
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -113,6 +113,7 @@
             domain: settings.domain.clone(),
             front: settings.front,
             peer: settings.peer,
+            relay: Some(settings.relay),
             power: settings.power,
         };
         let peer = Peer { name: own.name.clone(), domain: own.domain.clone(), address: own.peer };
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -1,6 +1,6 @@
 //! One request on one connection to one upstream.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -9,12 +9,9 @@
 use hyper::{Request, Response, StatusCode};
 use platform::Answer;
 
-use crate::connection::Connection;
 use crate::member::Member;
 use crate::metrics::Metrics;
-
-/// Time for a new connection; the ways between failure domains take milliseconds.
-const DIAL_TIME: Duration = Duration::from_millis(400);
+use crate::pool::Held;
 
 /// Most bytes of an answer that is held in memory.
 const MOST_BODY: usize = 16 * 1024 * 1024;
@@ -37,6 +34,13 @@
 pub enum Ended {
     /// With an answer, which may be a failure of the upstream's.
     Replied(Reply),
+    /// With an answer at a relay, whose records are merged with those of other parts.
+    Merged {
+        /// The upstream's signature of its answer.
+        stamp: Box<str>,
+        /// Running and waiting requests that the upstream reported.
+        load: Option<(u32, u32)>,
+    },
     /// With the upstream's word that it has not run the request.
     Refused {
         /// Whether another upstream has the address.
@@ -51,6 +55,26 @@
     },
 }
 
+impl Ended {
+    /// Returns whether the upstream had more to do than it has slots.
+    pub fn shows_queue(&self) -> bool {
+        let queue = |load: Option<(u32, u32)>| load.is_some_and(|(_, waiting)| waiting > 0);
+        match self {
+            Self::Replied(reply) => queue(reply.answer.load),
+            Self::Merged { load, .. } => queue(*load),
+            Self::Refused { replaced } => !replaced,
+            Self::Unsent | Self::Unknown { .. } => false,
+        }
+    }
+}
+
+impl Reply {
+    /// Returns whether another upstream would not do better.
+    pub fn is_final(&self) -> bool {
+        !self.status.is_server_error() && self.answer.stamp.is_some() && !self.answer.encoded
+    }
+}
+
 /// Sends a request and reads the whole answer.
 pub async fn exchange(
     member: &Member,
@@ -58,16 +82,14 @@
     id: &HeaderValue,
     metrics: &Metrics,
 ) -> Ended {
-    let mut connection = match member.connections.checkout(Instant::now()) {
-        Some(connection) => connection,
+    let mut held = match member.connections.checkout(Instant::now()) {
+        Some(held) => held,
         None => match dial(member, metrics).await {
-            Some(connection) => connection,
+            Some(held) => held,
             None => return Ended::Unsent,
         },
     };
-    // The connection counts as open until this is told otherwise, also when the task is dropped.
-    let guard = Guard(Some(member));
-    let response = match connection.send(request).await {
+    let response = match held.connection().send(request).await {
         Ok(response) => response,
         Err(mut error) => {
             return match error.take_message() {
@@ -80,12 +102,11 @@
     if !answer.own {
         return Ended::Unknown { cause: "answer to another request" };
     }
-    let Some(reply) = connection.drive(collect(response, answer)).await else {
+    let Some(reply) = held.connection().drive(collect(response, answer)).await else {
         return Ended::Unknown { cause: "answer broke off" };
     };
-    if !reply.answer.closes && connection.is_usable() {
-        guard.keep();
-        member.connections.checkin(Instant::now(), connection, reply.answer.keep);
+    if !reply.answer.closes {
+        held.checkin(Instant::now(), reply.answer.keep);
     }
     if reply.answer.refused {
         return Ended::Refused { replaced: reply.status == StatusCode::MISDIRECTED_REQUEST };
@@ -98,8 +119,8 @@
     if !member.has_room() {
         return;
     }
-    if let Some(connection) = dial(member, metrics).await {
-        member.connections.checkin(Instant::now(), connection, None);
+    if let Some(held) = dial(member, metrics).await {
+        held.checkin(Instant::now(), None);
     }
 }
 
@@ -117,39 +138,11 @@
     Some(Reply { status: parts.status, headers: parts.headers, body: whole, answer })
 }
 
-async fn dial(member: &Member, metrics: &Metrics) -> Option<Connection> {
-    member.connections.opening();
-    let guard = Guard(Some(member));
+async fn dial(member: &Member, metrics: &Metrics) -> Option<Held> {
     metrics.connections.inc();
-    match tokio::time::timeout(DIAL_TIME, Connection::open(member.upstream.address)).await {
-        Ok(Ok(connection)) => {
-            guard.keep();
-            Some(connection)
-        }
-        Ok(Err(error)) => {
-            log::debug!(upstream = member.upstream.id, error:%; "connection refused");
-            None
-        }
-        Err(_) => {
-            log::debug!(upstream = member.upstream.id; "connection timed out");
-            None
-        }
-    }
-}
-
-/// Counts a connection as closed unless it is kept.
-struct Guard<'a>(Option<&'a Member>);
-
-impl Guard<'_> {
-    fn keep(mut self) {
-        self.0 = None;
-    }
-}
-
-impl Drop for Guard<'_> {
-    fn drop(&mut self) {
-        if let Some(member) = self.0 {
-            member.connections.closed();
-        }
+    let dialled = member.connections.dial(member.upstream.address).await;
+    if let Err(error) = &dialled {
+        log::debug!(upstream = member.upstream.id, error:%; "no connection to an upstream");
     }
+    dialled.ok()
 }
--- a/crates/node/src/fan.rs
+++ b/crates/node/src/fan.rs
@@ -1,25 +1,26 @@
 //! The sendings of one request: one part, or one for each shard of a query.
 
+use std::cell::RefCell;
+use std::collections::VecDeque;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures::future::LocalBoxFuture;
 use futures::stream::{FuturesUnordered, StreamExt};
 use hedge::{Attempts, End, Need};
-use http_body_util::Full;
-use hyper::header::HeaderValue;
-use hyper::{Method, Request, Uri};
-use pick::{Outcome, Token};
-use platform::Call;
+use relay::{ORDER_HEADER, Order};
 use table::{Route, ServiceName};
 use tokio::time::{Sleep, sleep_until};
 
-use crate::exchange::{Ended, Reply, exchange};
+use crate::exchange::{Ended, Reply};
 use crate::fleet::{Fleet, Pace};
 use crate::member::Member;
 use crate::metrics::Metrics;
+use crate::relayed::{Progress, Relayed};
+use crate::sending::{Finished, Flight, Outgoing, send};
 
 /// Time for which a sending goes on that nobody waits for any more. Letting a short one finish
 /// keeps its connection, which costs an upstream's slot to open again.
@@ -31,38 +32,27 @@
 /// Time left below which a part is not sent, since no answer can come back in it.
 const LEAST_LEFT: Duration = Duration::from_millis(2);
 
-/// Parts without an answer that a log line names.
-const MOST_DESCRIBED: usize = 4;
+/// Time for the ways to and from a relay, which the parts that it asks for take besides their own.
+const RELAY_WAY: Duration = Duration::from_millis(4);
 
-/// Time without an answer, in typical times, after which an upstream counts as lost.
-const SILENCE_RATIO: u32 = 10;
+/// Part of the time until hedges are sent after which a relay returns what it has, so that parts
+/// that it holds back are not hedged.
+const FLUSH_SHARE: f64 = 0.9;
 
-/// Added to that time, for pauses of upstreams that last a tenth of a second or two.
-const SILENCE_MARGIN: Duration = Duration::from_millis(200);
+/// Parts without an answer that a log line names.
+const MOST_DESCRIBED: usize = 4;
 
 /// Part of the parts whose upstreams had requests waiting from which a late query shows overload; one
 /// shard alone that is slow is no reason to let fewer queries in.
 const CONGESTED_SHARE: f64 = 0.25;
 
-/// A request as it is sent to upstreams.
-pub struct Outgoing {
-    /// What the caller's headers say.
-    pub call: Call,
-    /// Its method.
-    pub method: Method,
-    /// Path and query.
-    pub target: Uri,
-    /// Its whole body.
-    pub body: Bytes,
-    /// When the caller gets a final answer in any case.
-    pub end: Instant,
-}
-
 /// What comes of the sendings.
 #[derive(Debug)]
 pub enum Event {
     /// A part has its answer.
     Part(usize, Reply),
+    /// Parts have their answers, whose records are merged: the signature of each, and all records.
+    Merged(Vec<(usize, Box<str>)>, Bytes),
     /// A part cannot get an answer any more; the last failure that an upstream gave for it.
     Lost(usize, Option<Reply>),
     /// The given time has come.
@@ -83,35 +73,38 @@
     counted: bool,
 }
 
-struct Finished {
-    part: usize,
-    member: Rc<Member>,
-    ended: Ended,
+enum Ending {
+    Sent(Finished),
+    Relayed(Progress),
 }
 
 /// The sendings of one request.
 pub struct Fan {
     fleet: Rc<Fleet>,
-    metrics: std::sync::Arc<Metrics>,
+    metrics: Arc<Metrics>,
     outgoing: Rc<Outgoing>,
-    pace: Rc<std::cell::RefCell<Pace>>,
+    pace: Rc<RefCell<Pace>>,
     parts: Vec<Part>,
+    events: VecDeque<Event>,
     spare: usize,
+    most: usize,
     queued: usize,
     next_due: Option<Instant>,
-    sendings: FuturesUnordered<LocalBoxFuture<'static, Finished>>,
+    sendings: FuturesUnordered<LocalBoxFuture<'static, Ending>>,
     timer: Pin<Box<Sleep>>,
 }
 
 impl Fan {
-    /// Prepares sendings to one upstream of each service, of which the answer needs `least`.
+    /// Prepares sendings to one upstream of each service, of which the answer needs `least`, and
+    /// `most` records.
     pub fn new(
         fleet: Rc<Fleet>,
-        metrics: std::sync::Arc<Metrics>,
+        metrics: Arc<Metrics>,
         outgoing: Outgoing,
         route: &Route,
         services: &[ServiceName],
         least: usize,
+        most: usize,
     ) -> Self {
         let part = |service: &ServiceName| Part {
             service: service.clone(),
@@ -132,7 +125,9 @@
             metrics,
             outgoing: Rc::new(outgoing),
             parts: services.iter().map(part).collect(),
+            events: VecDeque::new(),
             spare: services.len().saturating_sub(least),
+            most,
             queued: 0,
             next_due: None,
             sendings: FuturesUnordered::new(),
@@ -147,6 +142,38 @@
         }
     }
 
+    /// Sends every part of a query for the first time, some of them through relays that return what
+    /// they have by `soft`.
+    pub fn start_query(&mut self, now: Instant, soft: Instant) {
+        // A caller's header of that name would be lost at a relay.
+        let relays = if self.outgoing.call.headers.contains_key(ORDER_HEADER) {
+            None
+        } else {
+            self.fleet.relay_domain(now)
+        };
+        let chosen: Vec<_> = (0..self.parts.len())
+            .filter_map(|part| Some((part, self.select(now, part, relays.as_deref())?)))
+            .collect();
+        let parts = chosen.iter().enumerate();
+        let parts = parts.map(|(place, (_, member))| (place, self.relayed_by(now, member)));
+        let (direct, orders) = relay::plan(parts);
+        for (domain, places) in orders {
+            let parts = places.iter().map(|place| &chosen[*place]);
+            self.order(now, soft, domain, parts);
+        }
+        for place in direct {
+            let (part, member) = &chosen[place];
+            self.launch(now, *part, member);
+        }
+    }
+
+    /// Returns the failure domain whose relays may ask an upstream.
+    fn relayed_by<'a>(&self, now: Instant, member: &'a Member) -> Option<&'a str> {
+        let domain = &*member.upstream.domain;
+        let relayed = member.far && !member.is_cold(now) && self.fleet.has_relay(now, domain);
+        relayed.then_some(domain)
+    }
+
     /// Returns whether no upstream can have run any part.
     pub fn is_not_run(&self) -> bool {
         self.parts.iter().all(|part| part.attempts.is_not_run())
@@ -175,17 +202,22 @@
     /// Waits for the next event, up to `until`.
     pub async fn next(&mut self, until: Instant) -> Event {
         loop {
+            if let Some(event) = self.events.pop_front() {
+                return event;
+            }
             let due = self.next_due.map_or(until, |due| due.min(until)).into();
             if self.timer.deadline() != due {
                 self.timer.as_mut().reset(due);
             }
             tokio::select! {
                 biased;
-                Some(finished) = self.sendings.next() => {
-                    if let Some(event) = self.finish(Instant::now(), finished) {
-                        return event;
+                Some(ending) = self.sendings.next() => match ending {
+                    Ending::Sent(finished) => {
+                        let event = self.finish(Instant::now(), finished);
+                        self.events.extend(event);
                     }
-                }
+                    Ending::Relayed(progress) => self.advance(Instant::now(), progress),
+                },
                 () = self.timer.as_mut() => {
                     let now = Instant::now();
                     if now >= until {
@@ -233,7 +265,7 @@
                 && !member.replica.borrow().is_away(now)
         });
         let typical = self.pace.borrow().typical();
-        let Some(member) = self.fleet.choose(now, typical, others) else {
+        let Some(member) = self.fleet.choose(now, typical, others, None) else {
             self.parts[index].trouble = Some("no other upstream for a hedge");
             return;
         };
@@ -243,15 +275,29 @@
             return;
         }
         self.metrics.hedges.inc();
-        self.launch(now, index, member);
+        self.launch(now, index, &member);
     }
 
     /// Sends a part that is not running; returns false when it cannot get an answer any more.
     fn send(&mut self, now: Instant, index: usize) -> bool {
-        let part = &mut self.parts[index];
         if now + LEAST_LEFT >= self.outgoing.end {
             return false;
         }
+        let Some(member) = self.select(now, index, None) else { return true };
+        let part = &mut self.parts[index];
+        let need = if self.spare > 0 { Need::Spare } else { Need::Answer };
+        if part.attempts.is_extra() && !self.fleet.take_extra(now, &part.service, need) {
+            self.metrics.extras_denied.inc();
+            part.trouble = Some("no allowance for a retry");
+            return false;
+        }
+        self.launch(now, index, &member);
+        true
+    }
+
+    /// Chooses an upstream for a part; without one the part is tried again soon.
+    fn select(&mut self, now: Instant, index: usize, relays: Option<&str>) -> Option<Rc<Member>> {
+        let part = &mut self.parts[index];
         if !part.counted {
             part.counted = true;
             self.fleet.count_request(now, &part.service);
@@ -262,25 +308,19 @@
                 && !part.refused_by.iter().any(|refused| Rc::ptr_eq(refused, member))
         });
         let typical = self.pace.borrow().typical();
-        let Some(member) = self.fleet.choose(now, typical, allowed) else {
+        let chosen = self.fleet.choose(now, typical, allowed, relays);
+        if chosen.is_none() {
+            let mut wait = PARK_TIME;
             if part.refused_by.is_empty() {
                 part.trouble = Some("no upstream with room");
-                self.park(now + PARK_TIME, index);
             } else {
                 // A full upstream has room again when one of its requests has ended.
                 part.refused_by.clear();
-                self.park(now + (typical / 2).max(PARK_TIME), index);
+                wait = wait.max(typical / 2);
             }
-            return true;
-        };
-        let need = if self.spare > 0 { Need::Spare } else { Need::Answer };
-        if part.attempts.is_extra() && !self.fleet.take_extra(now, &part.service, need) {
-            self.metrics.extras_denied.inc();
-            part.trouble = Some("no allowance for a retry");
-            return false;
+            self.park(now + wait, index);
         }
-        self.launch(now, index, member);
-        true
+        chosen
     }
 
     fn park(&mut self, due: Instant, index: usize) {
@@ -292,36 +332,82 @@
         self.next_due = Some(self.next_due.map_or(due, |next| next.min(due)));
     }
 
-    fn launch(&mut self, now: Instant, index: usize, member: Rc<Member>) {
-        let (hedge, typical) = {
-            let pace = self.pace.borrow();
-            (pace.hedge(), pace.typical())
+    fn launch(&mut self, now: Instant, index: usize, member: &Rc<Member>) {
+        let hedge = self.pace.borrow().hedge();
+        let flight = self.begin(now, index, member, hedge);
+        let (outgoing, metrics) = (Rc::clone(&self.outgoing), Arc::clone(&self.metrics));
+        let sending = send(now, index, flight, outgoing, metrics);
+        self.sendings.push(Box::pin(async { Ending::Sent(sending.await) }));
+    }
+
+    /// Sends parts through a relay of `domain`, or directly if none has room.
+    fn order<'a>(
+        &mut self,
+        now: Instant,
+        soft: Instant,
+        domain: &str,
+        parts: impl Iterator<Item = &'a (usize, Rc<Member>)>,
+    ) {
+        let Some(peer) = self.fleet.relay(now, domain) else {
+            for (part, member) in parts {
+                self.launch(now, *part, member);
+            }
+            return;
         };
+        let hedge = self.pace.borrow().hedge();
+        let last = soft.saturating_duration_since(now).saturating_sub(RELAY_WAY);
+        let flush = hedge.mul_f64(FLUSH_SHARE).min(last);
+        let mut upstreams = Vec::new();
+        let mut flights = Vec::new();
+        for (part, member) in parts {
+            upstreams.push(member.upstream.id.clone());
+            flights.push((*part, self.begin(now, *part, member, hedge + RELAY_WAY)));
+        }
+        let order = Order { flush, most: self.most, upstreams };
+        let order = Relayed::new(now, &peer, &self.outgoing, &self.metrics, order, flights);
+        self.sendings.push(Box::pin(async { Ending::Relayed(order.next().await) }));
+    }
+
+    /// Counts a sending, which is late after `hedge`.
+    fn begin(
+        &mut self,
+        now: Instant,
+        index: usize,
+        member: &Rc<Member>,
+        hedge: Duration,
+    ) -> Flight {
         let part = &mut self.parts[index];
         part.attempts.sent(&member.upstream.id);
-        part.running.push(Rc::clone(&member));
+        part.running.push(Rc::clone(member));
         part.sent.get_or_insert(now);
         if part.attempts.may_hedge() {
-            let due = now + hedge;
-            part.due = Some(due);
-            self.wake_at(due);
+            self.park(now + hedge, index);
+        }
+        Flight::begin(now, member, &self.pace, &self.metrics)
+    }
+
+    /// Takes what a relay returned.
+    fn advance(&mut self, now: Instant, progress: Progress) {
+        if let Some(rest) = progress.rest {
+            self.sendings.push(Box::pin(async { Ending::Relayed(rest.next().await) }));
+        }
+        let mut merged = Vec::new();
+        for finished in progress.ended {
+            if let Ended::Merged { stamp, .. } = &finished.ended {
+                // Merged records count even if a hedge was faster: they cannot be told apart.
+                merged.push((finished.part, stamp.clone()));
+            }
+            let event = self.finish(now, finished);
+            self.events.extend(event);
+        }
+        if !merged.is_empty() {
+            self.events.push_back(Event::Merged(merged, progress.records));
         }
-        let token = member.replica.borrow_mut().begin(now);
-        let sending = Sending {
-            part: index,
-            member,
-            outgoing: Rc::clone(&self.outgoing),
-            pace: Rc::clone(&self.pace),
-            metrics: std::sync::Arc::clone(&self.metrics),
-            token,
-            typical,
-        };
-        self.sendings.push(Box::pin(sending.run(now)));
     }
 
     /// Takes the end of a sending; returns what it means for the whole request.
     fn finish(&mut self, now: Instant, finished: Finished) -> Option<Event> {
-        let Finished { part: index, member, ended } = finished;
+        let Finished { part: index, member, ended, .. } = finished;
         self.queued += usize::from(ended.shows_queue());
         let part = &mut self.parts[index];
         part.running.retain(|running| !Rc::ptr_eq(running, &member));
@@ -334,6 +420,11 @@
                 part.answered = true;
                 return Some(Event::Part(index, reply));
             }
+            Ended::Merged { .. } => {
+                part.done = true;
+                part.answered = true;
+                return None;
+            }
             Ended::Replied(reply) => {
                 part.failure = Some(reply);
                 End::Unknown
@@ -369,101 +460,6 @@
     }
 }
 
-impl Ended {
-    /// Returns whether the upstream had more to do than it has slots.
-    fn shows_queue(&self) -> bool {
-        match self {
-            Self::Replied(reply) => reply.answer.load.is_some_and(|(_, waiting)| waiting > 0),
-            Self::Refused { replaced } => !replaced,
-            Self::Unsent | Self::Unknown { .. } => false,
-        }
-    }
-}
-
-impl Reply {
-    /// Returns whether another upstream would not do better.
-    fn is_final(&self) -> bool {
-        !self.status.is_server_error() && self.answer.stamp.is_some() && !self.answer.encoded
-    }
-}
-
-/// One sending.
-struct Sending {
-    part: usize,
-    member: Rc<Member>,
-    outgoing: Rc<Outgoing>,
-    pace: Rc<std::cell::RefCell<Pace>>,
-    metrics: std::sync::Arc<Metrics>,
-    token: Token,
-    typical: Duration,
-}
-
-impl Sending {
-    async fn run(self, sent: Instant) -> Finished {
-        let id: &HeaderValue = &self.outgoing.call.id;
-        let mut watch = Watch { sending: &self, sent, ended: false };
-        let ended = exchange(&self.member, self.request(sent), id, &self.metrics).await;
-        watch.ended = true;
-        self.learn(Instant::now(), sent.elapsed(), Some(&ended));
-        drop(watch);
-        Finished { part: self.part, member: self.member, ended }
-    }
-
-    fn request(&self, now: Instant) -> Request<Full<Bytes>> {
-        let left = self.outgoing.end.saturating_duration_since(now);
-        let headers = platform::head(&self.outgoing.call, &self.member.upstream.id, left);
-        let mut request = Request::new(Full::new(self.outgoing.body.clone()));
-        *request.method_mut() = self.outgoing.method.clone();
-        *request.uri_mut() = self.outgoing.target.clone();
-        *request.headers_mut() = headers;
-        request
-    }
-
-    /// Records what the end says about the upstream.
-    fn learn(&self, now: Instant, time: Duration, ended: Option<&Ended>) {
-        let (outcome, name) = match ended {
-            Some(Ended::Replied(reply)) => {
-                if let Some((running, waiting)) = reply.answer.load {
-                    self.member.replica.borrow_mut().report(now, running, waiting);
-                }
-                if reply.is_final() {
-                    self.pace.borrow_mut().record(now, time);
-                    (Outcome::Answered { time, typical: self.typical }, "answered")
-                } else {
-                    (Outcome::Failed, "failed")
-                }
-            }
-            Some(Ended::Refused { replaced }) => {
-                self.member.replaced.set(self.member.replaced.get() || *replaced);
-                (Outcome::Refused, if *replaced { "replaced" } else { "refused" })
-            }
-            Some(Ended::Unsent) => (Outcome::Lost, "unsent"),
-            Some(Ended::Unknown { .. }) => (Outcome::Failed, "unknown"),
-            None if time > self.typical * SILENCE_RATIO + SILENCE_MARGIN => {
-                (Outcome::Lost, "silent")
-            }
-            None => (Outcome::Abandoned, "abandoned"),
-        };
-        self.metrics.sending(name);
-        self.member.replica.borrow_mut().end(now, self.token, outcome);
-    }
-}
-
-/// Records a sending that is given up before it has ended.
-struct Watch<'a> {
-    sending: &'a Sending,
-    sent: Instant,
-    ended: bool,
-}
-
-impl Drop for Watch<'_> {
-    fn drop(&mut self) {
-        if !self.ended {
-            self.sending.learn(Instant::now(), self.sent.elapsed(), None);
-        }
-    }
-}
-
 impl Drop for Fan {
     fn drop(&mut self) {
         if self.sendings.is_empty() {
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -12,10 +12,11 @@
 use platform::Settings;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use table::{Route, ServiceName, Share, Split, Upstream, UpstreamId, View};
+use table::{Domain, Route, ServiceName, Share, Split, Upstream, UpstreamId, View};
 
 use crate::directory;
 use crate::member::Member;
+use crate::peer::Peer;
 
 /// Part of the shared extra requests that this host uses: what hosts that were restarted have
 /// forgotten, and what crosses the edges of a span, must fit beside it.
@@ -60,6 +61,16 @@
 /// Cost of going to another failure domain, in typical times; it pays for the bytes that cross.
 const FAR_COST: f64 = 2.5;
 
+/// The same for parts that come through a relay in one message with others.
+const RELAYED_COST: f64 = 2.0;
+
+/// Time that a relay is expected to take, to which its load and its slowness are compared.
+const RELAY_TYPICAL: Duration = Duration::from_millis(20);
+
+/// Fraction of the greatest processor share below which a host is no relay: a weak host would hold
+/// up the parts of a whole order.
+const RELAY_POWER: f64 = 0.5;
+
 /// Recent latencies of the parts of one route.
 pub struct Pace {
     hedge: Delay,
@@ -109,6 +120,7 @@
     allowances: BTreeMap<ServiceName, Allowance>,
     paces: BTreeMap<Box<str>, Rc<RefCell<Pace>>>,
     splits: BTreeMap<Box<str>, Split>,
+    peers: BTreeMap<Domain, Vec<Rc<Peer>>>,
     windows: BTreeMap<Box<str>, Window>,
     random: StdRng,
     dialers: Option<(Instant, usize)>,
@@ -165,6 +177,7 @@
             allowances: BTreeMap::new(),
             paces: BTreeMap::new(),
             splits: BTreeMap::new(),
+            peers: BTreeMap::new(),
             windows: BTreeMap::new(),
             random: StdRng::seed_from_u64(seed),
             dialers: None,
@@ -211,6 +224,7 @@
             }
         }
         state.members = members;
+        state.peers = self.relays(&view, &state.peers);
         let shared = |(name, members): (_, Vec<_>)| (name, Rc::from(members));
         state.services = services.into_iter().map(shared).collect();
         state.slack = self.slack(&view, &dialers);
@@ -233,6 +247,40 @@
         self.state.borrow().services.get(service).cloned().unwrap_or_default()
     }
 
+    /// Returns the upstream with an id, if it may get work.
+    pub fn member(&self, id: &str) -> Option<Rc<Member>> {
+        self.state.borrow().members.get(id).cloned()
+    }
+
+    /// Draws a failure domain, other than this host's, that has a relay.
+    pub fn relay_domain(&self, now: Instant) -> Option<Domain> {
+        let state = &mut *self.state.borrow_mut();
+        let able = |peers: &&Vec<Rc<Peer>>| peers.iter().any(|peer| peer.is_able(now));
+        let count = state.peers.values().filter(able).count();
+        let place = state.random.random_range(0..count.max(1));
+        let mut domains = state.peers.iter().filter(|(_, peers)| able(peers));
+        domains.nth(place).map(|(domain, _)| domain.clone())
+    }
+
+    /// Returns whether a failure domain has a relay that can take an order.
+    pub fn has_relay(&self, now: Instant, domain: &str) -> bool {
+        let state = self.state.borrow();
+        state.peers.get(domain).is_some_and(|peers| peers.iter().any(|peer| peer.is_able(now)))
+    }
+
+    /// Chooses the relay of a failure domain that is the least busy.
+    pub fn relay(&self, now: Instant, domain: &str) -> Option<Rc<Peer>> {
+        let state = &mut *self.state.borrow_mut();
+        let peers = state.peers.get(domain)?.iter().filter(|peer| peer.is_able(now));
+        let peers: Vec<_> = peers.collect();
+        let replicas: Vec<_> = peers.iter().map(|peer| peer.replica.borrow()).collect();
+        let distance = Duration::ZERO;
+        let candidates: Vec<_> =
+            replicas.iter().map(|replica| Candidate { replica, distance }).collect();
+        let index = pick::choose(now, RELAY_TYPICAL, &candidates, state.random.random())?;
+        Some(Rc::clone(peers[index]))
+    }
+
     /// Returns the latencies of a route's parts.
     pub fn pace(&self, route: &Route) -> Rc<RefCell<Pace>> {
         let paces = &mut self.state.borrow_mut().paces;
@@ -269,23 +317,25 @@
         self.with_allowance(now, service, |allowance| allowance.take(now, need))
     }
 
-    /// Chooses among members by the least expected time.
+    /// Chooses among members by the least expected time; parts in the domain `relays` cost less to
+    /// fetch, since they come in one message.
     pub fn choose<'a>(
         &self,
         now: Instant,
         typical: Duration,
         members: impl Iterator<Item = &'a Rc<Member>>,
+        relays: Option<&str>,
     ) -> Option<Rc<Member>> {
         let members: Vec<_> = members.filter(|member| member.has_room()).collect();
         let replicas: Vec<_> = members.iter().map(|member| member.replica.borrow()).collect();
-        let far = typical.mul_f64(FAR_COST);
-        let candidates: Vec<_> = members
-            .iter()
-            .zip(&replicas)
-            .map(|(member, replica)| Candidate {
-                replica,
-                distance: if member.far { far } else { Duration::ZERO },
-            })
+        let distance = |member: &Member| match relays {
+            _ if !member.far => Duration::ZERO,
+            Some(domain) if *domain == *member.upstream.domain => typical.mul_f64(RELAYED_COST),
+            _ => typical.mul_f64(FAR_COST),
+        };
+        let pairs = members.iter().zip(&replicas);
+        let candidates: Vec<_> = pairs
+            .map(|(member, replica)| Candidate { replica, distance: distance(member) })
             .collect();
         let draw = self.state.borrow_mut().random.random();
         let index = pick::choose(now, typical, &candidates, draw)?;
@@ -319,6 +369,25 @@
         all * (1.0 - DIALER_SLACK) / others as f64
     }
 
+    /// Returns the relays of the other failure domains; those that stay keep their state.
+    fn relays(
+        &self,
+        view: &View,
+        before: &BTreeMap<Domain, Vec<Rc<Peer>>>,
+    ) -> BTreeMap<Domain, Vec<Rc<Peer>>> {
+        let most = view.hosts.values().map(|host| host.power).fold(0.0, f64::max);
+        let strong = view.hosts.values().filter(|host| host.power >= most * RELAY_POWER);
+        let mut relays: BTreeMap<Domain, Vec<Rc<Peer>>> = BTreeMap::new();
+        for host in strong.filter(|host| host.domain != self.settings.domain) {
+            let same =
+                |peer: &&Rc<Peer>| peer.name == host.name && Some(peer.address) == host.relay;
+            let known = before.get(&host.domain).and_then(|peers| peers.iter().find(same));
+            let peer = known.cloned().or_else(|| Peer::new(host).map(Rc::new));
+            relays.entry(host.domain.clone()).or_default().extend(peer);
+        }
+        relays
+    }
+
     fn adopt(
         &self,
         now: Instant,
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -21,9 +21,11 @@
 use tokio::sync::watch;
 
 use crate::exchange::{Reply, prepare};
-use crate::fan::{Event, Fan, Outgoing};
+use crate::fan::{Event, Fan};
 use crate::fleet::Fleet;
 use crate::metrics::Status;
+use crate::relay::Relay;
+use crate::sending::Outgoing;
 use crate::server::{Body, accept, adopt};
 use crate::start::Shared;
 use crate::verdict::{Verdict, read_body};
@@ -74,6 +76,14 @@
 /// One complete answer in this many is logged, so that the log shows ordinary requests as well.
 const LOG_SAMPLE: u32 = 200;
 
+/// Sockets of the traffic thread.
+pub struct Listeners {
+    /// For callers.
+    pub front: TcpListener,
+    /// For other hosts that order parts.
+    pub relay: TcpListener,
+}
+
 /// The traffic thread's server.
 pub struct Front {
     shared: Shared,
@@ -82,13 +92,16 @@
     open: Cell<usize>,
     answered: Cell<u32>,
     backlog: RefCell<Backlog>,
+    relay: Rc<Relay>,
 }
 
 impl Front {
     /// Serves callers until the process has stopped.
-    pub async fn run(shared: Shared, listener: TcpListener, mut views: watch::Receiver<Arc<View>>) {
+    pub async fn run(shared: Shared, listeners: Listeners, mut views: watch::Receiver<Arc<View>>) {
         let seed = rand::random();
         let fleet = Rc::new(Fleet::new(Arc::clone(&shared.settings), seed));
+        let relay = Relay::new(&fleet, &shared.metrics);
+        tokio::task::spawn_local(Rc::clone(&relay).run(listeners.relay));
         let front = Rc::new(Self {
             shared,
             fleet: Rc::clone(&fleet),
@@ -96,6 +109,7 @@
             open: Cell::new(0),
             answered: Cell::new(0),
             backlog: RefCell::new(Backlog::new(Instant::now())),
+            relay,
         });
         tokio::task::spawn_local(Rc::clone(&front).tick());
         let metrics = Arc::clone(&front.shared.metrics);
@@ -113,7 +127,7 @@
                 }
             }
         });
-        front.accept(listener).await;
+        front.accept(listeners.front).await;
     }
 
     /// Ticks for as long as the thread runs.
@@ -149,7 +163,7 @@
         drop(listener);
         close.send_replace(true);
         let last = Instant::now() + grace.mul_f64(CLOSE_SHARE - LEAVE_SHARE);
-        while self.open.get() > 0 && Instant::now() < last {
+        while self.open.get() + self.relay.busy() > 0 && Instant::now() < last {
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
         log::info!(open = self.open.get(); "connections of callers ended");
@@ -290,7 +304,7 @@
         let end = outgoing.end;
         let services = std::slice::from_ref(service);
         let metrics = Arc::clone(&self.shared.metrics);
-        let mut fan = Fan::new(Rc::clone(&self.fleet), metrics, outgoing, route, services, 1);
+        let mut fan = Fan::new(Rc::clone(&self.fleet), metrics, outgoing, route, services, 1, 0);
         fan.start(Instant::now());
         match fan.next(end).await {
             Event::Part(_, reply) | Event::Lost(_, Some(reply)) => Verdict::reply(reply),
@@ -302,6 +316,7 @@
             Event::Lost(_, None) => {
                 Verdict::own(StatusCode::BAD_GATEWAY, None, "no usable answer of an upstream")
             }
+            Event::Merged(..) => unreachable!("only queries over many shards use relays"),
             Event::Due if fan.is_not_run() => Verdict::own(
                 StatusCode::SERVICE_UNAVAILABLE,
                 Some(RETRY_REFUSED),
@@ -344,8 +359,9 @@
         };
         let metrics = Arc::clone(&self.shared.metrics);
         let fleet = Rc::clone(&self.fleet);
-        let mut fan = Fan::new(fleet, metrics, outgoing, route, &shards.shards, shards.least());
-        fan.start(Instant::now());
+        let (services, least, most) = (&shards.shards, shards.least(), shards.top_k);
+        let mut fan = Fan::new(fleet, metrics, outgoing, route, services, least, most);
+        fan.start_query(Instant::now(), soft);
         loop {
             let until = match state.step(Instant::now()) {
                 Step::Wait(until) => until,
@@ -378,6 +394,7 @@
                     Some(part) => state.add(index, part),
                     None => state.lose(index),
                 },
+                Event::Merged(parts, records) => state.add_merged(parts, records),
                 Event::Lost(index, _) => state.lose(index),
                 Event::Due => {}
             }
--- a/crates/node/src/member.rs
+++ b/crates/node/src/member.rs
@@ -1,21 +1,14 @@
-//! One upstream as the traffic thread holds it: its state, and its connections.
+//! One upstream as the traffic thread holds it.
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use pick::Replica;
 use table::Upstream;
 
-use crate::connection::Connection;
-
-/// Time before an upstream's idle timeout at which a connection is no longer used, for the way and
-/// for late timers.
-const IDLE_MARGIN: Duration = Duration::from_millis(600);
-
-/// Idle timeout of an upstream that names none.
-const DEFAULT_KEEP: Duration = Duration::from_secs(4);
+use crate::pool::Connections;
 
 /// One upstream.
 pub struct Member {
@@ -45,60 +38,18 @@
         }
     }
 
-    /// Returns whether a request can be sent without waiting for a connection.
-    pub fn has_room(&self) -> bool {
-        !self.replaced.get() && self.connections.has_room()
-    }
-}
-
-struct Idle {
-    connection: Connection,
-    until: Instant,
-}
-
-/// The connections to one upstream.
-#[derive(Default)]
-pub struct Connections {
-    idle: RefCell<Vec<Idle>>,
-    open: Cell<usize>,
-    most: Cell<usize>,
-}
-
-impl Connections {
-    /// Sets the most connections that this host may have open.
-    pub fn set_most(&self, most: usize) {
-        self.most.set(most);
-    }
-
-    /// Takes the connection that was used last, if a usable one is idle.
-    pub fn checkout(&self, now: Instant) -> Option<Connection> {
-        let mut idle = self.idle.borrow_mut();
-        while let Some(Idle { mut connection, until }) = idle.pop() {
-            if now < until && connection.is_usable() {
-                return Some(connection);
-            }
-            self.closed();
-        }
-        None
-    }
-
-    /// Puts a connection back whose answer is complete.
-    pub fn checkin(&self, now: Instant, connection: Connection, keep: Option<Duration>) {
-        let time = keep.unwrap_or(DEFAULT_KEEP).saturating_sub(IDLE_MARGIN);
-        self.idle.borrow_mut().push(Idle { connection, until: now + time });
+    /// Returns whether the upstream is cold, so that only one host may send to it.
+    pub fn is_cold(&self, now: Instant) -> bool {
+        self.replica.borrow().is_cold(now)
     }
 
-    /// Counts a connection that is being opened.
-    pub fn opening(&self) {
-        self.open.set(self.open.get() + 1);
+    /// Returns whether this host would send to the upstream for another one.
+    pub fn is_open(&self, now: Instant) -> bool {
+        self.has_room() && !self.is_cold(now) && !self.replica.borrow().is_away(now)
     }
 
-    /// Counts a connection that is closed or was never open.
-    pub fn closed(&self) {
-        self.open.set(self.open.get() - 1);
-    }
-
-    fn has_room(&self) -> bool {
-        self.open.get() < self.most.get() || !self.idle.borrow().is_empty()
+    /// Returns whether a request can be sent without waiting for a connection.
+    pub fn has_room(&self) -> bool {
+        !self.replaced.get() && self.connections.has_room()
     }
 }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -41,6 +41,10 @@
     pub extras_denied: Counter,
     /// Shards left out of answers.
     pub parts_missing: Counter,
+    /// Orders for parts sent to relays.
+    pub orders: Counter,
+    /// Orders for parts taken from other hosts.
+    pub orders_taken: Counter,
     /// Connections opened to upstreams.
     pub connections: Counter,
     /// Calls to the store.
@@ -60,6 +64,8 @@
             hedges: Counter::default(),
             extras_denied: Counter::default(),
             parts_missing: Counter::default(),
+            orders: Counter::default(),
+            orders_taken: Counter::default(),
             connections: Counter::default(),
             store_calls: Counter::default(),
             store_failures: Counter::default(),
@@ -83,6 +89,8 @@
         registry.register("hedges", "Copies sent for late parts", self.hedges.clone());
         registry.register("extras_denied", "Forbidden extra sendings", self.extras_denied.clone());
         registry.register("parts_missing", "Shards left out", self.parts_missing.clone());
+        registry.register("orders", "Orders to relays", self.orders.clone());
+        registry.register("orders_taken", "Orders of other hosts", self.orders_taken.clone());
         registry.register("connections_opened", "Upstream connections", self.connections.clone());
         registry.register("store_calls", "Calls to the store", self.store_calls.clone());
         registry.register("store_failures", "Failed store calls", self.store_failures.clone());
--- /dev/null
+++ b/crates/node/src/peer.rs
@@ -0,0 +1,51 @@
+//! Another host of ours as the traffic thread sees it: a relay for parts.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use pick::Replica;
+use table::Host;
+
+use crate::pool::Connections;
+
+/// Orders that a relay is taken to work on at a time; more only raise its expected time.
+const SLOTS: u32 = 4;
+
+/// Most connections to one relay. Each carries one order, and an order takes milliseconds.
+const MOST_CONNECTIONS: usize = 64;
+
+/// Time for which an idle connection to a relay is kept; relays close them later.
+pub const KEEP: Duration = Duration::from_secs(20);
+
+/// One other host.
+pub struct Peer {
+    /// Its name.
+    pub name: Box<str>,
+    /// Address for orders.
+    pub address: SocketAddr,
+    /// What this host has seen of it as a relay.
+    pub replica: RefCell<Replica>,
+    /// Connections for orders.
+    pub connections: Rc<Connections>,
+}
+
+impl Peer {
+    /// Creates a peer that nothing is known of; hosts without an address for orders are none.
+    pub fn new(host: &Host) -> Option<Self> {
+        let connections = Rc::new(Connections::default());
+        connections.set_most(MOST_CONNECTIONS);
+        Some(Self {
+            name: host.name.clone(),
+            address: host.relay?,
+            replica: RefCell::new(Replica::new(SLOTS)),
+            connections,
+        })
+    }
+
+    /// Returns whether an order may be sent.
+    pub fn is_able(&self, now: Instant) -> bool {
+        self.connections.has_room() && !self.replica.borrow().is_away(now)
+    }
+}
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -40,6 +40,7 @@
     let shared = Shared { settings: Arc::new(settings), metrics, stop: process.stop() };
     let settings = &shared.settings;
     let front = listen(settings.front)?;
+    let relay = listen(settings.relay)?;
     let readiness = listen(settings.readiness)?;
     let peer = listen(settings.peer)?;
     let directory = listen(settings.directory)?;
@@ -48,7 +49,10 @@
     let (publish, views) = watch::channel(Arc::new(View::default()));
 
     let traffic = shared.clone();
-    let thread = kernel::spawn_local("traffic", move || Front::run(traffic, front, views))?;
+    let thread = kernel::spawn_local("traffic", move || {
+        let listeners = crate::front::Listeners { front, relay };
+        Front::run(traffic, listeners, views)
+    })?;
     process.add_thread(thread);
     let control = shared.clone();
     let listeners = crate::control::Listeners { readiness, peer, directory, metrics };
--- a/crates/node/tests/directory.rs
+++ b/crates/node/tests/directory.rs
@@ -24,6 +24,7 @@
             domain: (*domain).into(),
             front: address(1),
             peer: address(2),
+            relay: None,
             power: *power,
         };
         view.hosts.insert((*name).into(), Arc::new(host));
--- a/crates/node/tests/path.rs
+++ b/crates/node/tests/path.rs
@@ -185,11 +185,7 @@
     stream.write_all(request.as_bytes()).await.expect("the host reads");
     until("the request runs", || async { world.ran("gone") == 1 }).await;
     drop(stream);
-    let metrics = || async {
-        let url = format!("http://{}/metrics", node.metrics);
-        let text = support::client().get(url).send().await.expect("metrics").text().await;
-        text.expect("text").contains("outcome=\"abandoned\"} 1")
-    };
+    let metrics = || async { node.metrics().await.contains("outcome=\"abandoned\"} 1") };
     until("the sending is given up", metrics).await;
 }
 
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -31,6 +31,7 @@
     pub directory: SocketAddr,
     pub readiness: SocketAddr,
     pub metrics: SocketAddr,
+    pub relay: SocketAddr,
     process: Process<Running>,
 }
 
@@ -142,16 +143,22 @@
     }
 }
 
-/// Returns the settings file of a host.
+/// Returns the settings file of a host in `perth-1`.
 pub fn settings(name: &str, store: SocketAddr, seeds: &[SocketAddr]) -> String {
-    let [front, readiness, control, directory] = [(); 4].map(|()| free_address());
+    settings_in("perth-1", name, store, seeds)
+}
+
+/// Returns the settings file of a host in a failure domain.
+pub fn settings_in(domain: &str, name: &str, store: SocketAddr, seeds: &[SocketAddr]) -> String {
+    let [front, readiness, control, directory, relay] = [(); 5].map(|()| free_address());
+    let relay = relay.port();
     let seeds: Vec<String> = seeds.iter().map(|seed| format!("{seed:?}")).collect();
     let seeds = seeds.iter().map(|seed| format!("\"{seed}\"")).collect::<Vec<_>>().join(",");
     format!(
         r#"
 node_name = "{name}"
-zone = "perth-1"
-port_range = [1, 2]
+zone = "{domain}"
+port_range = [{relay}, {relay}]
 seeds = [{seeds}]
 [listen]
 front = "{front}"
@@ -180,14 +187,18 @@
 impl Node {
     /// Starts a host in `perth-1`.
     pub fn start(name: &str, store: SocketAddr, seeds: &[SocketAddr]) -> Self {
-        let settings = Settings::parse("test", &settings(name, store, seeds));
-        let settings = settings.expect("the settings are complete");
+        Self::start_with(&settings(name, store, seeds))
+    }
+
+    fn start_with(settings: &str) -> Self {
+        let settings = Settings::parse("test", settings).expect("the settings are complete");
         let metrics = free_address();
         let mut process = Process::new("test");
         let (front, peer) = (settings.front, settings.peer);
         let (directory, readiness) = (settings.directory, settings.readiness);
+        let relay = settings.relay;
         node::start(settings, metrics.port(), &mut process).expect("the host starts");
-        Self { front, peer, directory, readiness, metrics, process: process.run() }
+        Self { front, peer, directory, readiness, metrics, relay, process: process.run() }
     }
 
     /// Starts a host and waits until it serves.
@@ -197,6 +208,20 @@
         node
     }
 
+    /// Starts a host in a failure domain and waits until it serves.
+    pub async fn ready_in(domain: &str, name: &str, world: &World) -> Self {
+        let node = Self::start_with(&settings_in(domain, name, world.kv.address(), &[]));
+        node.wait_ready().await;
+        node
+    }
+
+    /// Returns the metrics as text.
+    pub async fn metrics(&self) -> String {
+        let url = format!("http://{}/metrics", self.metrics);
+        let answer = client().get(url).send().await.expect("the host answers");
+        answer.text().await.expect("text")
+    }
+
     /// Waits until the host takes requests.
     pub async fn wait_ready(&self) {
         until("the host is ready", || async { self.is_ready().await }).await;
--- a/crates/pick/src/replica.rs
+++ b/crates/pick/src/replica.rs
@@ -142,6 +142,11 @@
         self.cold.is_none_or(|cold| cold.allows(now))
     }
 
+    /// Returns whether the upstream has just started and may get few requests only.
+    pub fn is_cold(&self, now: Instant) -> bool {
+        self.cold.is_some_and(|cold| cold.is_cold(now))
+    }
+
     /// Returns whether the upstream could not be reached lately and is not due for another try.
     pub fn is_away(&self, now: Instant) -> bool {
         self.away.is_some_and(|(until, _)| now < until)
--- /dev/null
+++ b/crates/relay/src/order.rs
@@ -0,0 +1,46 @@
+//! What a relay is asked to do.
+
+use std::fmt;
+use std::str::FromStr;
+use std::time::Duration;
+
+use crate::error::{Code, Error};
+
+/// Header that carries an order beside the caller's own headers.
+pub const ORDER_HEADER: &str = "pistachio-parts";
+
+/// An order: one sending to each of some upstreams.
+///
+/// Its text is `FLUSH-MS;MOST;ID,ID,...`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Order {
+    /// Time after which the relay returns what it has, rather than wait for all parts.
+    pub flush: Duration,
+    /// Most records in a batch.
+    pub most: usize,
+    /// Upstreams to ask; a part is named by its place in this list.
+    pub upstreams: Vec<Box<str>>,
+}
+
+impl fmt::Display for Order {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{};{};{}", self.flush.as_millis(), self.most, self.upstreams.join(","))
+    }
+}
+
+impl FromStr for Order {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let mut fields = text.splitn(3, ';');
+        let mut field = |name| fields.next().ok_or(Code::Order(name));
+        let flush = field("flush")?.parse().map_err(|_| Code::Order("flush"))?;
+        let most = field("most")?.parse().map_err(|_| Code::Order("most"))?;
+        let ids = field("upstreams")?;
+        if ids.split(',').any(str::is_empty) {
+            return Err(Code::Order("upstreams").into());
+        }
+        let upstreams = ids.split(',').map(Into::into).collect();
+        Ok(Self { flush: Duration::from_millis(flush), most, upstreams })
+    }
+}
--- /dev/null
+++ b/crates/relay/tests/relay.rs
@@ -0,0 +1,112 @@
+//! Orders, batches and when they are returned.
+
+use std::time::{Duration, Instant};
+
+use relay::{Batch, Collector, Decoder, End, Order, plan};
+
+fn answered(stamp: &str) -> End {
+    End::Answered { stamp: stamp.into(), load: Some((1, 0)), time: Duration::from_millis(7) }
+}
+
+#[test]
+fn order_survives_its_text() {
+    let order = Order {
+        flush: Duration::from_millis(18),
+        most: 20,
+        upstreams: vec!["i-1".into(), "i-2".into()],
+    };
+    assert_eq!(order.to_string(), "18;20;i-1,i-2");
+    assert_eq!(order.to_string().parse::<Order>().expect("own text"), order);
+}
+
+#[test]
+fn order_with_a_fault_says_which_field() {
+    for (text, field) in [
+        ("", "flush"),
+        ("x;20;a", "flush"),
+        ("18", "most"),
+        ("18;-1;a", "most"),
+        ("18;20", "upstreams"),
+        ("18;20;a,,b", "upstreams"),
+    ] {
+        let error = text.parse::<Order>().expect_err(text);
+        assert!(error.is_order());
+        assert!(error.to_string().contains(field), "{text}: {error}");
+    }
+}
+
+#[test]
+fn batches_are_cut_from_a_stream_in_pieces() {
+    let first = Batch { ends: vec![(3, answered("a"))], records: vec![1; 32] };
+    let second = Batch { ends: vec![(0, End::Failed), (1, End::Unsent)], records: Vec::new() };
+    let bytes = [first.encode(), second.encode()].concat();
+    let mut decoder = Decoder::default();
+    let mut found = Vec::new();
+    for byte in bytes {
+        decoder.push(&[byte]);
+        while let Some(batch) = decoder.take().expect("bytes of a batch") {
+            found.push(batch);
+        }
+    }
+    assert_eq!(found, [first, second]);
+}
+
+#[test]
+fn bytes_that_are_no_batch_are_an_error() {
+    let mut decoder = Decoder::default();
+    decoder.push(&[1, 0, 9, 9, 9, 9]);
+    let error = decoder.take().expect_err("an unknown kind of end");
+    assert!(!error.is_order());
+}
+
+#[test]
+fn answers_wait_for_each_other_until_the_flush_time() {
+    let now = Instant::now();
+    let flush = now + Duration::from_millis(20);
+    let mut collector = Collector::new(3, 2, flush);
+    collector.answer(0, answered("a"), vec![1; 16].into());
+    collector.answer(2, answered("c"), [[3; 16], [2; 16]].concat().into());
+    assert_eq!(collector.take(now), None);
+    assert_eq!(collector.due(), Some(flush));
+    let batch = collector.take(flush).expect("the flush time has come");
+    assert_eq!(batch.ends, [(0, answered("a")), (2, answered("c"))]);
+    assert_eq!(batch.records, [[3; 16], [2; 16]].concat());
+    assert!(!collector.is_done());
+    collector.answer(1, answered("b"), vec![9; 16].into());
+    let batch = collector.take(flush).expect("later answers go at once");
+    assert_eq!(batch.records, [9; 16]);
+    assert!(collector.is_done());
+}
+
+#[test]
+fn failure_is_returned_at_once_and_holds_no_records() {
+    let now = Instant::now();
+    let mut collector = Collector::new(2, 5, now + Duration::from_millis(20));
+    collector.answer(0, answered("a"), vec![1; 16].into());
+    collector.fail(1, End::Refused { replaced: false });
+    let batch = collector.take(now).expect("every part has ended");
+    assert_eq!(batch.ends.len(), 2);
+
+    let mut collector = Collector::new(3, 5, now + Duration::from_millis(20));
+    collector.answer(0, answered("a"), vec![1; 16].into());
+    collector.fail(1, End::Failed);
+    let batch = collector.take(now).expect("a failure");
+    assert_eq!(batch, Batch { ends: vec![(1, End::Failed)], records: Vec::new() });
+}
+
+#[test]
+fn few_parts_of_a_domain_are_asked_for_directly() {
+    let parts = [(0, None), (1, Some("x")), (2, Some("y")), (3, Some("y")), (4, Some("y"))];
+    let (direct, orders) = plan(parts);
+    assert_eq!(direct, [0, 1]);
+    assert_eq!(orders, [("y", vec![2, 3, 4])]);
+}
+
+/// Pattern: a query over hundreds of shards, most of them in other failure domains.
+#[test]
+fn many_parts_are_spread_over_orders_of_equal_size() {
+    let (direct, orders) = plan((0..60).map(|part| (part, Some("y"))));
+    assert!(direct.is_empty());
+    let sizes: Vec<_> = orders.iter().map(|(_, parts)| parts.len()).collect();
+    assert_eq!(sizes, [20, 20, 20]);
+}
--- a/crates/soak/src/host.rs
+++ b/crates/soak/src/host.rs
@@ -50,15 +50,15 @@
         seeds: &[SocketAddr],
     ) -> Result<(Self, SocketAddr)> {
         let store = Proxy::start(store).await?;
-        let [front, readiness, peer, directory] = [(); 4].map(|()| free_address());
-        let metrics = free_address().port();
+        let [front, readiness, peer, directory, relay] = [(); 5].map(|()| free_address());
+        let (metrics, relay) = (free_address().port(), relay.port());
         let name = format!("host-{number}");
         let folder = folder.join(&name);
         fs::create_dir_all(&folder)?;
         let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
         let (seeds, grace) = (seeds.join(","), GRACE.as_secs());
         let settings = format!(
-            "node_name = \"{name}\"\nzone = \"{domain}\"\nport_range = [1, 2]\nseeds = [{seeds}]\n\
+            "node_name = \"{name}\"\nzone = \"{domain}\"\nport_range = [{relay}, {relay}]\nseeds = [{seeds}]\n\
              [listen]\nfront = \"{front}\"\nreadiness = \"{readiness}\"\ncontrol = \"{peer}\"\n\
              directory = \"{directory}\"\n[limits]\ncpu_share = 1.0\n[bounds]\n\
              config_apply_ms = 3000\ndrain_ms = 3000\nevacuate_ms = 5000\ngrace_s = {grace}\n\
--- a/crates/table/src/fact.rs
+++ b/crates/table/src/fact.rs
@@ -18,6 +18,8 @@
     pub front: SocketAddr,
     /// Address for its peers.
     pub peer: SocketAddr,
+    /// Address where other hosts order parts; a host of an earlier version has none.
+    pub relay: Option<SocketAddr>,
     /// Processor share in cores, which weighs how much work it can take.
     pub power: f64,
 }
