Add route, split and gather to the rule file

`route`, `split` and `gather` lines give the same `table::Route` as the platform's configuration, with every fault named by line; `pistachioctl check` counts them, `explain` takes a route's name too and lists the routes of a service.

Ruled out: a second model of routes in `rules` (two types for one thing).

--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -7,8 +7,9 @@
 use kernel::{Error, Result};
 use member::{Roster, rank};
 use route::{Hosts, Kind, Life, group};
-use rules::{Rules, Service};
+use rules::Rules;
 use store::roster_key;
+use table::Target;
 
 use crate::{client, read_config, text};
 
@@ -17,32 +18,71 @@
     let client = client(matches)?;
     let config = read_config(&client).await?;
     let rules = rules::parse("configuration", &config.edit.text).map_err(Error::other)?;
-    let name = text(matches, "service");
+    let name = text(matches, "name");
+    let revision = config.revision;
+    if let Some(route) = rules.routes.get(&*name) {
+        println!("route {name}, revision {revision} by {}", config.edit.by);
+        print_rules(&config.edit.text, &route.asked_by);
+        print_target(&route.route.target);
+        print_domains(&rules);
+        return Ok(ExitCode::SUCCESS);
+    }
     let Some(service) = rules.services.get(&*name) else {
         return Err(Error::other(format!(
-            "service \"{name}\" does not exist in revision {}",
-            config.revision
+            "no service and no route \"{name}\" in revision {revision}"
         )));
     };
     let roster = client.get(&roster_key(&text(matches, "cell"))).await.map_err(Error::other)?;
     let roster: Roster = serde_json::from_str(&roster.value).unwrap_or_default();
     let hosts = client.hosts().await.map_err(Error::other)?;
-    println!("service {name}, revision {} by {}", config.revision, config.edit.by);
-    print_rules(&config.edit.text, service);
+    println!("service {name}, revision {revision} by {}", config.edit.by);
+    print_rules(&config.edit.text, &service.asked_by);
+    print_routes(&name, &rules);
     print_domains(&rules);
     print_groups(&name, &rules, &roster, &hosts);
     Ok(ExitCode::SUCCESS)
 }
 
-fn print_rules(text: &str, service: &Service) {
+fn print_rules(text: &str, asked_by: &BTreeMap<u32, Box<str>>) {
     println!("rules:");
-    for (line, asked_by) in &service.asked_by {
+    for (line, asked_by) in asked_by {
         let rule = text.lines().nth(*line as usize - 1).unwrap_or_default();
         let rule = rule.split(" #").next().unwrap_or_default().trim();
         println!("  line {line}, asked by {asked_by}: {rule}");
     }
 }
 
+/// Prints the routes whose requests may go to a service.
+fn print_routes(name: &str, rules: &Rules) {
+    for (route, rule) in &rules.routes {
+        if rule.services().contains(&name) {
+            println!("route {route}: {}{}", rule.route.host, rule.route.prefix);
+        }
+    }
+}
+
+fn print_target(target: &Target) {
+    match target {
+        Target::Service(service) => println!("requests go to {service}"),
+        Target::Split(shares) => {
+            let total: f64 = shares.iter().map(|share| share.weight).sum();
+            for share in shares {
+                println!(
+                    "{:.1}% of requests go to {}",
+                    share.weight / total * 100.0,
+                    share.service
+                );
+            }
+        }
+        Target::Gather(gather) => println!(
+            "requests go to {} shards; answers need {} of them and hold {} records",
+            gather.shards.len(),
+            gather.least(),
+            gather.top_k
+        ),
+    }
+}
+
 fn print_domains(rules: &Rules) {
     println!("failure domains:");
     for (name, domain) in &rules.domains {
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -48,8 +48,8 @@
         )
         .subcommand(
             Command::new("explain")
-                .about("Says why a service's work goes where it goes, rule by rule")
-                .arg(Arg::new("service").required(true).value_name("SERVICE").help("Service"))
+                .about("Says why the work of a service or a route goes where it goes, rule by rule")
+                .arg(Arg::new("name").required(true).value_name("NAME").help("Service or route"))
                 .arg(kernel::flag("cell", "Cell whose roster is read").default_value("main"))
                 .arg(platform()),
         )
@@ -134,7 +134,8 @@
 fn check(matches: &ArgMatches) -> Result<ExitCode> {
     let path = text(matches, "file");
     let rules = rules::parse(&path, &read_file(&path)?).map_err(Error::other)?;
-    println!("{path}: {} services, {} domains", rules.services.len(), rules.domains.len());
+    let (services, domains) = (rules.services.len(), rules.domains.len());
+    println!("{path}: {services} services, {domains} domains, {} routes", rules.routes.len());
     Ok(ExitCode::SUCCESS)
 }
 
--- a/crates/ctl/tests/command.rs
+++ b/crates/ctl/tests/command.rs
@@ -68,6 +68,45 @@
     assert!(text(&away).contains("nothing was changed"), "{}", text(&away));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn routes_are_checked_and_explained() {
+    let any = "127.0.0.1:0".parse().expect("legal");
+    let platform = Platform::start(any, Duration::ZERO).await.expect("it starts");
+    let address = platform.address().to_string();
+    let path = std::env::temp_dir().join(format!("routes-{}.rules", std::process::id()));
+    let rules = "\
+domain perth-1 # asked by: platform team
+service north --shards 1 --replicas 2 # asked by: hazard desk
+service south --shards 1 --replicas 2 # asked by: hazard desk
+route sweep --host faults.example --prefix /sweep/ --repeatable # asked by: hazard desk
+gather sweep --shards north,south --records 20 --least-percent 50 # asked by: dispatch
+route book --host faults.example --prefix /book/ # asked by: crew office
+split book --service north --weight 3 # asked by: crew office
+split book --service south --weight 1 # asked by: crew office
+";
+    std::fs::write(&path, rules).expect("the file is written");
+    let file = path.to_string_lossy().into_owned();
+    let checked = text(&run(&["check", &file]));
+    assert!(checked.contains("2 services, 1 domains, 2 routes"), "{checked}");
+    let words = ["apply", &file, "--by", "ann", "--platform", &address];
+    let done = run_async(words.iter().map(ToString::to_string).collect()).await;
+    std::fs::remove_file(&path).expect("the file is there");
+    assert!(done.status.success(), "{}", text(&done));
+    let explain = |name: &str| {
+        let words = ["explain", name, "--platform", &address];
+        run_async(words.iter().map(ToString::to_string).collect())
+    };
+    let sweep = text(&explain("sweep").await);
+    assert!(sweep.contains("2 shards; answers need 1 of them and hold 20 records"), "{sweep}");
+    assert!(sweep.contains("line 5, asked by dispatch"), "{sweep}");
+    let book = text(&explain("book").await);
+    assert!(book.contains("75.0% of requests go to north"), "{book}");
+    let north = text(&explain("north").await);
+    assert!(north.contains("route sweep: faults.example/sweep/"), "{north}");
+    let none = explain("west").await;
+    assert!(text(&none).contains("no service and no route \"west\""), "{}", text(&none));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn lost_answer_of_an_accepted_edit_is_resolved() {
     let any = "127.0.0.1:0".parse().expect("legal");
--- a/crates/rules/src/grammar.rs
+++ b/crates/rules/src/grammar.rs
@@ -12,6 +12,18 @@
 /// work of a lost owner, see `docs/design/ownership.md`.
 const MAX_DEADLINE_MS: u64 = 2_000;
 
+/// Most upstreams that one request may be sent to; more would multiply an overload.
+const MAX_ATTEMPTS: u64 = 10;
+
+/// Longest timeout of a route, in milliseconds; callers hold no connection for an hour.
+const MAX_TIMEOUT_MS: u64 = 3_600_000;
+
+/// Lowest rank of a route.
+const MAX_PRIORITY: u64 = 100;
+
+/// Greatest weight of a service in a split, and most records in a merged answer.
+const MAX_COUNT: u64 = 1_000_000;
+
 fn number(name: &'static str, most: u64) -> Arg {
     Arg::new(name)
         .long(name)
@@ -19,6 +31,43 @@
         .value_parser(RangedU64ValueParser::<u64>::new().range(1..=most))
 }
 
+/// Reads a host name, which may hold dots.
+fn parse_host(text: &str) -> Result<Box<str>, String> {
+    let legal = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '-' || c == '.';
+    if text.is_empty() || text.len() > 253 || !text.chars().all(legal) {
+        return Err("expected 1 to 253 of a-z, 0-9, - and .".into());
+    }
+    Ok(text.into())
+}
+
+fn parse_prefix(text: &str) -> Result<Box<str>, String> {
+    if !text.starts_with('/') || !text.ends_with('/') {
+        return Err("expected a path that begins and ends with a slash".into());
+    }
+    Ok(text.into())
+}
+
+fn word(name: &'static str, parse: fn(&str) -> Result<Box<str>, String>) -> Arg {
+    Arg::new(name).long(name).value_parser(parse)
+}
+
+fn route() -> Command {
+    Command::new("route")
+        .arg(name())
+        .arg(word("host", parse_host).required(true))
+        .arg(word("prefix", parse_prefix).required(true))
+        .arg(word("service", parse_name))
+        .arg(Arg::new("repeatable").long("repeatable").action(ArgAction::SetTrue))
+        .arg(number("attempts", MAX_ATTEMPTS))
+        .arg(number("timeout-ms", MAX_TIMEOUT_MS))
+        .arg(number("objective-ms", MAX_TIMEOUT_MS))
+        .arg(
+            Arg::new("priority")
+                .long("priority")
+                .value_parser(RangedU64ValueParser::<u64>::new().range(..=MAX_PRIORITY)),
+        )
+}
+
 fn name() -> Arg {
     Arg::new("name").required(true).value_parser(parse_name)
 }
@@ -67,6 +116,20 @@
                 .arg(number("default-ms", MAX_DEADLINE_MS).required(true))
                 .arg(number("max-ms", MAX_DEADLINE_MS)),
         )
+        .subcommand(route())
+        .subcommand(
+            Command::new("split")
+                .arg(name())
+                .arg(word("service", parse_name).required(true))
+                .arg(number("weight", MAX_COUNT).required(true)),
+        )
+        .subcommand(
+            Command::new("gather")
+                .arg(name())
+                .arg(word("shards", parse_name).value_delimiter(',').required(true))
+                .arg(number("records", MAX_COUNT).required(true))
+                .arg(number("least-percent", 100)),
+        )
         .subcommand(
             Command::new("domain")
                 .arg(name())
@@ -81,7 +144,17 @@
 
 /// Reads an operation's name.
 pub(crate) fn operation_of(matches: &ArgMatches) -> Box<str> {
-    matches.get_one::<Box<str>>("operation").cloned().unwrap_or_default()
+    word_of(matches, "operation").unwrap_or_default()
+}
+
+/// Reads an option's text, if it was given.
+pub(crate) fn word_of(matches: &ArgMatches, option: &str) -> Option<Box<str>> {
+    matches.get_one::<Box<str>>(option).cloned()
+}
+
+/// Reads the shards of a query, one service each.
+pub(crate) fn shards_of(matches: &ArgMatches) -> Vec<Box<str>> {
+    matches.get_many::<Box<str>>("shards").into_iter().flatten().cloned().collect()
 }
 
 /// Reads a number, or `default` where the option was left out.
--- a/crates/rules/src/lib.rs
+++ b/crates/rules/src/lib.rs
@@ -9,10 +9,12 @@
 //! service live-faults --shards 20 --replicas 2          # asked by: hazard desk
 //! limit live-faults --slots 2 --connections 25          # asked by: hazard desk
 //! repeat live-faults --operation dispatch --never       # asked by: hazard desk
+//! route look-up --host faults.example --prefix /faults/ --service live-faults # asked by: hazard desk
 //! ";
 //! let rules = rules::parse("example.rules", text).expect("the file has no fault");
 //! assert_eq!(rules.services["live-faults"].shards, 20);
 //! assert!(!rules.services["live-faults"].repeatable("dispatch"));
+//! assert_eq!(rules.routes["look-up"].services(), ["live-faults"]);
 //! ```
 
 mod edit;
@@ -20,8 +22,9 @@
 mod grammar;
 mod model;
 mod parse;
+mod routes;
 
 pub use crate::edit::set_domain;
 pub use crate::error::{Error, Fault, Result};
-pub use crate::model::{Domain, DomainId, Limit, Rules, Service, ServiceId};
+pub use crate::model::{Domain, DomainId, Limit, RouteId, RouteRule, Rules, Service, ServiceId};
 pub use crate::parse::parse;
--- a/crates/rules/src/model.rs
+++ b/crates/rules/src/model.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
+use table::{Route, Target};
 
 /// Name of a service, as operators and callers write it.
 pub type ServiceId = Box<str>;
@@ -11,13 +11,18 @@
 /// Name of a failure domain.
 pub type DomainId = Box<str>;
 
+/// Name of a route.
+pub type RouteId = Box<str>;
+
 /// All rules of one file.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Rules {
     /// Failure domains by name.
     pub domains: BTreeMap<DomainId, Domain>,
     /// Services by name.
     pub services: BTreeMap<ServiceId, Service>,
+    /// Routes by name.
+    pub routes: BTreeMap<RouteId, RouteRule>,
 }
 
 impl Rules {
@@ -27,8 +32,28 @@
     }
 }
 
+/// The rules of one route: the route itself, and where it may be changed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RouteRule {
+    /// What the rules say.
+    pub route: Route,
+    /// Who asked for each rule, by the rule's line.
+    pub asked_by: BTreeMap<u32, Box<str>>,
+}
+
+impl RouteRule {
+    /// Returns the services that requests on the route may go to.
+    pub fn services(&self) -> Vec<&str> {
+        match &self.route.target {
+            Target::Service(service) => vec![service],
+            Target::Split(shares) => shares.iter().map(|share| &*share.service).collect(),
+            Target::Gather(gather) => gather.shards.iter().map(|shard| &**shard).collect(),
+        }
+    }
+}
+
 /// The rule of one failure domain.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Domain {
     /// Whether operators have taken the domain out.
     pub out: bool,
@@ -39,7 +64,7 @@
 }
 
 /// The rules of one service.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Service {
     /// Number of shards that operators expect; the upstreams' own map goes first.
     pub shards: u32,
@@ -65,7 +90,7 @@
 }
 
 /// What one upstream may bear.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Limit {
     /// Requests at a time when warm.
     pub slots: u32,
--- a/crates/rules/src/parse.rs
+++ b/crates/rules/src/parse.rs
@@ -7,6 +7,7 @@
 use crate::error::{Error, Fault, Result};
 use crate::grammar;
 use crate::model::{Domain, Limit, Rules, Service};
+use crate::routes;
 
 /// Mark that starts the comment naming who asked for a rule.
 pub(crate) const ASKED_BY: &str = "# asked by:";
@@ -53,6 +54,12 @@
         self.faults.push(Fault { file: self.file.into(), line, message: message.into() });
     }
 
+    fn check(&mut self, line: u32, result: std::result::Result<(), String>) {
+        if let Err(message) = result {
+            self.fault(line, message);
+        }
+    }
+
     fn line(&mut self, pass: Pass, number: u32, line: &str) {
         if line.trim().is_empty() || line.trim_start().starts_with("##") {
             return;
@@ -70,6 +77,18 @@
         match (pass, matches.subcommand()) {
             (Pass::Names, Some(("service", rule))) => self.service(line, rule, asked_by),
             (Pass::Names, Some(("domain", rule))) => self.domain(line, rule, asked_by),
+            (Pass::Names, Some(("route", rule))) => {
+                let result = routes::route(&mut self.rules, line, rule, asked_by);
+                self.check(line, result);
+            }
+            (Pass::Details, Some(("split", rule))) => {
+                let result = routes::split(&mut self.rules, line, rule, asked_by);
+                self.check(line, result);
+            }
+            (Pass::Details, Some(("gather", rule))) => {
+                let result = routes::gather(&mut self.rules, line, rule, asked_by);
+                self.check(line, result);
+            }
             (Pass::Details, Some(("limit", rule))) => self.limit(line, rule, asked_by),
             (Pass::Details, Some(("repeat", rule))) => self.repeat(line, rule, asked_by),
             (Pass::Details, Some(("deadline", rule))) => self.deadline(line, rule, asked_by),
@@ -174,6 +193,9 @@
         if self.faults.is_empty() && self.rules.domains.is_empty() {
             self.fault(1, "no domain is named; expected at least one \"domain NAME\" line");
         }
+        for (line, message) in routes::faults(&self.rules) {
+            self.fault(line, message);
+        }
         if self.faults.is_empty() {
             return Ok(self.rules);
         }
--- a/crates/rules/tests/rules.rs
+++ b/crates/rules/tests/rules.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use table::Target;
+
 #[test]
 fn all_faults_are_listed_with_their_lines() {
     let text = "\
@@ -44,3 +46,70 @@
     assert!(rules::parse("x", &out).expect("still without fault").domains["b"].out);
     assert!(rules::set_domain(text, "c", true, "x").is_err());
 }
+
+const SERVICES: &str = "\
+domain a # asked by: x
+service one --shards 1 --replicas 2 # asked by: x
+service two --shards 1 --replicas 2 # asked by: x
+";
+
+#[test]
+fn routes_of_each_kind_are_read() {
+    let text = format!(
+        "{SERVICES}\
+gather all --shards one,two --records 20 --least-percent 50 # asked by: d
+route all --host s.example --prefix /all/ --repeatable --attempts 2 --timeout-ms 900 --objective-ms 80 --priority 1 # asked by: a
+route plain --host s.example --prefix / --service one # asked by: b
+split halves --service one --weight 3 # asked by: e
+split halves --service two --weight 1 # asked by: f
+route halves --host s.example --prefix /h/ # asked by: c
+"
+    );
+    let rules = rules::parse("x", &text).expect("the file has no fault");
+    let all = &rules.routes["all"];
+    assert_eq!(all.services(), ["one", "two"]);
+    assert_eq!((all.route.attempts, all.route.priority), (2, 1));
+    assert_eq!(all.route.timeout, Duration::from_millis(900));
+    assert_eq!(all.route.objective, Duration::from_millis(80));
+    let Target::Gather(gather) = &all.route.target else { panic!("expected a gather") };
+    assert_eq!((gather.top_k, gather.least()), (20, 1));
+    assert_eq!(rules.routes["plain"].route.target, Target::Service("one".into()));
+    assert!(!rules.routes["plain"].route.idempotent);
+    let Target::Split(shares) = &rules.routes["halves"].route.target else {
+        panic!("expected a split")
+    };
+    let weights: Vec<_> = shares.iter().map(|share| share.weight).collect();
+    assert_eq!(weights, [3.0, 1.0]);
+    assert_eq!(rules.routes["halves"].asked_by.len(), 3);
+}
+
+#[test]
+fn faults_of_routes_name_their_line_and_cause() {
+    for (rule, cause) in [
+        ("route r --host s.example --prefix all/ --service one", "a slash"),
+        ("route r --host S.example --prefix /a/ --service one", "a-z"),
+        ("route r --host s.example --prefix /a/", "no target"),
+        ("route r --host s.example --prefix /a/ --service nine", "\"nine\", which does not exist"),
+        (
+            "route r --host s.example --prefix /a/ --service one --timeout-ms 5 --objective-ms 6",
+            "at most --timeout-ms",
+        ),
+        ("split nowhere --service one --weight 1", "\"nowhere\" does not exist"),
+        ("split plain --service one --weight 1", "has a target already"),
+        ("gather plain --shards one,two --records 2", "has a target already"),
+        ("gather plain --shards one --records 0", "--records"),
+        ("gather once --shards one,two --records 2", "expected --repeatable"),
+        ("gather often --shards one,one --records 2", "\"one\" is named twice"),
+        ("route plain --host t.example --prefix /a/ --service one", "named twice"),
+        ("route other --host s.example --prefix /plain/ --service one", "host and prefix"),
+    ] {
+        let routes = "\
+route plain --host s.example --prefix /plain/ --service one # asked by: x
+route once --host s.example --prefix /once/ # asked by: x
+route often --host s.example --prefix /often/ --repeatable # asked by: x
+";
+        let text = format!("{SERVICES}{routes}{rule} # asked by: y\n");
+        let error = rules::parse("x", &text).expect_err(rule).to_string();
+        assert!(error.contains(cause), "{rule}: {error}");
+    }
+}
