Soak: harm the ways between hosts and in front of callers

Cause: hosts order parts from each other now, and the soak could harm only the ways to the store and to upstreams; its hosts all had upstreams beside them, so that relays were never used.

Hosts stand in three failure domains, upstreams in two. Callers, news and orders go through proxies that delay, reset, cut one way or silence them. The node takes the addresses that other hosts use by flags, as behind a translated address. Only the host whose ways are harmed is excused from bounds in time; those that hear news from it are not.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -26,4 +26,4 @@
 mod verdict;
 
 pub use crate::directory::named;
-pub use crate::start::start;
+pub use crate::start::{Options, start};
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -26,6 +26,8 @@
             kernel::number("metrics-port", 1, 65_535, "Port for GET /metrics")
                 .default_value("9464"),
         )
+        .arg(kernel::address("advertise-peer", "Address that other hosts use for news"))
+        .arg(kernel::address("advertise-relay", "Address that other hosts use for parts"))
         .arg(kernel::flag("log", "Log level, such as info or debug").default_value("info"))
 }
 
@@ -44,11 +46,16 @@
     let _log = kernel::start_json_log(level)?;
     let path = matches.get_one::<String>("settings").map_or("", String::as_str);
     let settings = Settings::load(path).map_err(kernel::Error::other)?;
-    let port = matches.get_one::<u64>("metrics-port").copied().unwrap_or_default() as u16;
+    let address = |name| matches.get_one::<std::net::SocketAddr>(name).copied();
+    let options = node::Options {
+        metrics_port: matches.get_one::<u64>("metrics-port").copied().unwrap_or_default() as u16,
+        advertised_peer: address("advertise-peer"),
+        advertised_relay: address("advertise-relay"),
+    };
     let mut process = kernel::Process::new("pistachio-node");
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(kernel::Error::other)?;
-    node::start(settings, port, &mut process)?;
+    node::start(settings, &options, &mut process)?;
     let running = process.run();
     runtime.block_on(async {
         tokio::select! {
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -24,6 +24,17 @@
     pub stop: Stop,
 }
 
+/// What a process is told beside its settings file.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Options {
+    /// Port for metrics.
+    pub metrics_port: u16,
+    /// Address that other hosts use for the feed, if it is not the one listened on.
+    pub advertised_peer: Option<SocketAddr>,
+    /// Address that other hosts use for orders, if it is not the one listened on.
+    pub advertised_relay: Option<SocketAddr>,
+}
+
 /// Starts the control and traffic threads of a process.
 ///
 /// # Errors
@@ -31,20 +42,22 @@
 /// Fails when an address cannot be listened on, the client of the store cannot be set up or a thread
 /// cannot be started.
 pub fn start(
-    settings: Settings,
-    metrics_port: u16,
+    mut settings: Settings,
+    options: &Options,
     process: &mut Process<kernel::Starting>,
 ) -> Result<()> {
+    let relay = listen(settings.relay)?;
+    let peer = listen(settings.peer)?;
+    settings.relay = options.advertised_relay.unwrap_or(settings.relay);
+    settings.peer = options.advertised_peer.unwrap_or(settings.peer);
     let metrics = Arc::new(Metrics::default());
     process.registry().register("metrics", Arc::clone(&metrics));
     let shared = Shared { settings: Arc::new(settings), metrics, stop: process.stop() };
     let settings = &shared.settings;
     let front = listen(settings.front)?;
-    let relay = listen(settings.relay)?;
     let readiness = listen(settings.readiness)?;
-    let peer = listen(settings.peer)?;
     let directory = listen(settings.directory)?;
-    let metrics = listen(SocketAddr::from((own_address(settings.front), metrics_port)))?;
+    let metrics = listen(SocketAddr::from((own_address(settings.front), options.metrics_port)))?;
     let store = platform::Client::new(settings.store).map_err(Error::other)?;
     let (publish, views) = watch::channel(Arc::new(View::default()));
 
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -23,6 +23,10 @@
     Reload,
     /// The way of a host to the store is harmed.
     StoreWay(Harm),
+    /// The ways of other hosts to a host are harmed.
+    HostWay(Harm),
+    /// The ways of callers to a host are harmed.
+    CallerWay(Harm),
     /// The store misbehaves.
     Store(Mood),
     /// The store forgets its history.
@@ -70,6 +74,9 @@
         Kind::Pause,
         Kind::Reload,
         Kind::StoreWay(harm),
+        Kind::HostWay(harm),
+        Kind::HostWay(harm),
+        Kind::CallerWay(harm),
         Kind::Store(mood),
         Kind::Compact,
         Kind::Lapse,
--- a/crates/soak/src/host.rs
+++ b/crates/soak/src/host.rs
@@ -20,10 +20,14 @@
 pub struct Host {
     /// Its name.
     pub name: Box<str>,
-    /// Address for requests.
-    pub front: SocketAddr,
+    /// The way of callers to it.
+    pub front: Proxy,
+    /// The ways of other hosts to it: for news and for parts.
+    pub peers: [Proxy; 2],
     /// Its way to the store.
     pub store: Proxy,
+    /// When its callers' way was last harmed.
+    pub callers_harmed: Instant,
     /// Since when nothing has been done to it or its way to the store.
     pub calm_since: Instant,
     /// Number of its present process, counted from 1.
@@ -51,6 +55,8 @@
     ) -> Result<(Self, SocketAddr)> {
         let store = Proxy::start(store).await?;
         let [front, readiness, peer, directory, relay] = [(); 5].map(|()| free_address());
+        let peers = [Proxy::start(peer).await?, Proxy::start(relay).await?];
+        let callers = Proxy::start(front).await?;
         let (metrics, relay) = (free_address().port(), relay.port());
         let name = format!("host-{number}");
         let folder = folder.join(&name);
@@ -58,8 +64,8 @@
         let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
         let (seeds, grace) = (seeds.join(","), GRACE.as_secs());
         let settings = format!(
-            "node_name = \"{name}\"\nzone = \"{domain}\"\nport_range = [{relay}, {relay}]\nseeds = [{seeds}]\n\
-             [listen]\nfront = \"{front}\"\nreadiness = \"{readiness}\"\ncontrol = \"{peer}\"\n\
+            "node_name = \"{name}\"\nzone = \"{domain}\"\nport_range = [{relay}, {relay}]\n\
+             seeds = [{seeds}]\n[listen]\nfront = \"{front}\"\nreadiness = \"{readiness}\"\ncontrol = \"{peer}\"\n\
              directory = \"{directory}\"\n[limits]\ncpu_share = 1.0\n[bounds]\n\
              config_apply_ms = 3000\ndrain_ms = 3000\nevacuate_ms = 5000\ngrace_s = {grace}\n\
              ttl_max_s = 5\nretry_budget_ratio = 0.2\nbudget_window_s = 10\nbudget_slack = 58\n\
@@ -70,8 +76,10 @@
         fs::write(folder.join("metrics-port"), metrics.to_string())?;
         let mut host = Self {
             name: name.into(),
-            front,
+            front: callers,
+            peers,
             store,
+            callers_harmed: Instant::now(),
             calm_since: Instant::now(),
             incarnation: 0,
             stopping: None,
@@ -80,6 +88,7 @@
             process: None,
         };
         host.launch()?;
+        let peer = host.peers[0].address();
         Ok((host, peer))
     }
 
@@ -94,6 +103,8 @@
         let settings = self.folder.join("settings.toml");
         let mut command = Command::new(&self.binary);
         command.arg("--settings").arg(settings).args(["--metrics-port", &port]);
+        let [peer, relay] = self.peers.each_ref().map(|proxy| proxy.address().to_string());
+        command.args(["--advertise-peer", &peer, "--advertise-relay", &relay]);
         self.process = Some(command.stdout(log.try_clone()?).stderr(log).spawn()?);
         self.incarnation += 1;
         self.stopping = None;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -18,7 +18,7 @@
 use crate::host::{GRACE, Host};
 use crate::proxy::Harm;
 use crate::verdict::{Broken, Report};
-use crate::world::{DOMAINS, NEWS_TIME, SHARDS, TOP_K, World};
+use crate::world::{DOMAINS, HOST_DOMAINS, NEWS_TIME, SHARDS, TOP_K, World};
 
 /// Time for which a host and its way to the store must be calm before bounds hold for it.
 const CONTACT: Duration = Duration::from_secs(4);
@@ -74,7 +74,7 @@
     let mut hosts = Vec::new();
     let mut seeds = Vec::new();
     for number in 0..plan.hosts {
-        let domain = DOMAINS[number % DOMAINS.len()];
+        let domain = HOST_DOMAINS[number % HOST_DOMAINS.len()];
         let store = world.kv.address();
         let (host, peer) =
             Host::start(number, domain, store, &plan.binary, &plan.folder, &seeds).await?;
@@ -127,7 +127,7 @@
     /// Waits until every host serves the query and the newest configuration.
     async fn wait_serving(&self, time: Duration) -> bool {
         let end = Instant::now() + time;
-        let fronts: Vec<_> = lock(&self.hosts).iter().map(|host| host.front).collect();
+        let fronts: Vec<_> = lock(&self.hosts).iter().map(|host| host.front.address()).collect();
         for (number, front) in fronts.into_iter().enumerate() {
             let mut client = Client::new(number, front);
             loop {
@@ -151,7 +151,7 @@
     }
 
     async fn client(self: Arc<Self>, number: usize, host: usize) {
-        let front = lock(&self.hosts)[host].front;
+        let front = lock(&self.hosts)[host].front.address();
         let mut client = Client::new(host, front);
         let mut turn = number;
         while !self.done.load(Ordering::Relaxed) {
@@ -174,9 +174,10 @@
 
     /// Checks what can only be checked while the run goes on.
     fn judge(&self, record: &Record, incarnation: u32, written: Instant) {
-        let (calm_since, same, stopping) = {
+        let (calm_since, same, stopping, callers_harmed) = {
             let host = &lock(&self.hosts)[record.host];
-            (host.calm_since, host.incarnation == incarnation, host.stopping)
+            let same = host.incarnation == incarnation;
+            (host.calm_since, same, host.stopping, host.callers_harmed)
         };
         let calm = record.sent.saturating_duration_since(calm_since) > CONTACT && same;
         let harmed = *lock(&self.store_harmed);
@@ -189,7 +190,8 @@
             report.breaks(Broken::Overdue, format!("{} {:?}", record.id, record.kind));
         }
         let last = stopping.map(|end| end.checked_sub(GRACE / 2).unwrap_or(end));
-        if record.cut && last.is_some_and(|last| record.ended < last) {
+        let harmed = callers_harmed + MACHINE_SLACK > record.sent;
+        if record.cut && !harmed && last.is_some_and(|last| record.ended < last) {
             report.breaks(Broken::Cut, format!("{} at a stopping host", record.id));
         }
     }
@@ -215,6 +217,16 @@
                 self.signal(place, Signal::CONT);
             }
             Kind::Reload => self.signal(place, Signal::HUP),
+            Kind::HostWay(harm) => {
+                self.harm_host_ways(place, harm);
+                tokio::time::sleep(time).await;
+                self.harm_host_ways(place, Harm::None);
+            }
+            Kind::CallerWay(harm) => {
+                self.harm_caller_way(place, harm);
+                tokio::time::sleep(time).await;
+                self.harm_caller_way(place, Harm::None);
+            }
             Kind::StoreWay(harm) => {
                 self.harm_store_way(place, harm);
                 tokio::time::sleep(time).await;
@@ -296,6 +308,22 @@
         hosts[number].disturbed();
     }
 
+    /// Harms the ways to a host; others that hear news or order parts there must do without.
+    fn harm_host_ways(&self, place: usize, harm: Harm) {
+        let mut hosts = lock(&self.hosts);
+        let number = place % hosts.len();
+        hosts[number].peers.iter().for_each(|proxy| proxy.set(harm));
+        hosts[number].disturbed();
+    }
+
+    fn harm_caller_way(&self, place: usize, harm: Harm) {
+        let mut hosts = lock(&self.hosts);
+        let number = place % hosts.len();
+        hosts[number].front.set(harm);
+        hosts[number].callers_harmed = Instant::now();
+        hosts[number].disturbed();
+    }
+
     fn set_mood(&self, mood: Mood) {
         self.store_harmed();
         lock(&self.world).kv.set_mood(mood);
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -11,9 +11,12 @@
 /// Host name of all routes.
 pub const HOST: &str = "search.example";
 
-/// Failure domains.
+/// Failure domains of the upstreams.
 pub const DOMAINS: [&str; 2] = ["perth-1", "perth-2"];
 
+/// Failure domains of the hosts; the last has no upstreams, so that its hosts use relays.
+pub const HOST_DOMAINS: [&str; 3] = ["perth-1", "perth-2", "perth-3"];
+
 /// Shards of the query.
 pub const SHARDS: usize = 6;
 
