Write the logs of broker and egress as JSON to standard output

Cause: only pistachio-node wrote structured lines; broker and egress wrote text to standard error, and an answer that was refused or partial left no line at all.

Messages are constant and their inputs fields; an answer that is not complete is one line with the request, status, outcome, cause, revision of the configuration and epoch of the roster.

Measured: a test starts the broker without any configuration and reads the line of a refused search.

--- a/crates/broker/src/answer.rs
+++ b/crates/broker/src/answer.rs
@@ -37,9 +37,13 @@
 pub(crate) struct Answer {
     pub(crate) status: u16,
     pub(crate) outcome: &'static str,
+    pub(crate) cause: Box<str>,
     pub(crate) body: String,
 }
 
+/// Outcome of an answer that covers every shard.
+pub(crate) const COMPLETE: &str = "complete";
+
 /// Makes the answer of an outcome.
 pub(crate) fn answer(request_id: &str, outcome: &Outcome) -> Answer {
     match outcome {
@@ -63,7 +67,7 @@
     entries: Vec<String>,
 ) -> Answer {
     let body = Refused { outcome, request_id, reason, entries };
-    Answer { status, outcome, body: text(&body) }
+    Answer { status, outcome, cause: reason.into(), body: text(&body) }
 }
 
 fn found(request_id: &str, pin: Pin, results: &BTreeMap<Shard, Body>, missing: &[Shard]) -> Answer {
@@ -82,7 +86,12 @@
     }
     missing.sort_unstable();
     let total = covered + missing.len();
-    let outcome = if missing.is_empty() { "complete" } else { "partial" };
+    let outcome = if missing.is_empty() { COMPLETE } else { "partial" };
+    let cause = if missing.is_empty() {
+        Box::default()
+    } else {
+        format!("shards {missing:?} are missing").into()
+    };
     let body = Found {
         outcome,
         request_id,
@@ -90,7 +99,7 @@
         coverage: Coverage { covered, total, missing },
         results: merged,
     };
-    Answer { status: 200, outcome, body: text(&body) }
+    Answer { status: 200, outcome, cause, body: text(&body) }
 }
 
 fn text(body: &impl Serialize) -> String {
--- a/crates/broker/src/control.rs
+++ b/crates/broker/src/control.rs
@@ -141,10 +141,13 @@
         };
         let old = self.scene.borrow().clone();
         if scene.stage != old.stage {
-            log::info!("this broker is now {:?}", scene.stage);
+            log::info!(stage:? = scene.stage; "stage changed");
         }
         if scene.config.revision != old.config.revision {
-            log::info!("configuration {} is in force", scene.config.revision);
+            log::info!(
+                revision = scene.config.revision, before = old.config.revision;
+                "configuration in force"
+            );
         }
         self.metrics.config.set(i64::try_from(scene.config.revision).unwrap_or(i64::MAX));
         let same = scene.config.revision == old.config.revision
@@ -163,7 +166,7 @@
         if let Some(config) = update.config {
             let revision = config.revision;
             if let Err(error) = self.latest.advance(config) {
-                log::error!("configuration {revision} is refused: {error}");
+                log::error!(revision, error:%; "configuration refused");
             }
         }
         let told = self.told.entry(host.into()).or_default();
@@ -196,7 +199,7 @@
             let told = state.borrow_mut().told.remove(&Box::from(egress.to_string()));
             if told.is_some() {
                 misses = 0;
-                log::info!("egress {egress} is lost: {ended}");
+                log::info!(egress:%, cause:% = ended; "egress lost");
                 changed.notify_one();
             }
             misses += 1;
--- a/crates/broker/src/http.rs
+++ b/crates/broker/src/http.rs
@@ -111,6 +111,23 @@
     }
 }
 
+/// Logs an answer that is not complete.
+fn tell(scene: &Scene, id: &str, answer: &Answer, received: Instant) {
+    if answer.outcome == answer::COMPLETE {
+        return;
+    }
+    log::info!(
+        request = id,
+        status = answer.status,
+        outcome = answer.outcome,
+        cause = answer.cause,
+        took_ms = received.elapsed().as_secs_f64() * 1_000.0,
+        revision = scene.config.revision,
+        epoch = scene.epoch;
+        "answered"
+    );
+}
+
 fn write(res: &mut Response, status: u16, body: String) {
     res.status_code(StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR));
     res.render(Text::Json(body));
@@ -127,12 +144,14 @@
         }
         if scene.config.revision == 0 {
             let refused = answer::not_run("", "no configuration is known yet", Vec::new());
+            tell(&scene, "", &refused, received);
             return write(res, refused.status, refused.body);
         }
         let request = match self.read(&scene, req).await {
             Ok(request) => request,
             Err(fault) => {
                 self.metrics.bad_requests.inc();
+                log::info!(status = fault.status, cause = fault.message; "malformed request");
                 let body = serde_json::json!({ "error": fault.message }).to_string();
                 return write(res, fault.status, body);
             }
@@ -142,12 +161,14 @@
         if is_leaving && request.repeatable {
             let entries = self.addresses(&scene);
             let refused = answer::not_run(&request.id, "this host is leaving", entries);
+            tell(&scene, &request.id, &refused, received);
             return write(res, refused.status, refused.body);
         }
         let (id, service) = (request.id.clone(), request.service.clone());
         let answer = answer::answer(&id, &self.run(request, received).await);
         drop(in_flight);
         self.count(&service, &answer, received);
+        tell(&scene, &id, &answer, received);
         write(res, answer.status, answer.body);
     }
 
--- a/crates/broker/src/main.rs
+++ b/crates/broker/src/main.rs
@@ -42,7 +42,7 @@
 fn run(matches: &clap::ArgMatches) -> kernel::Result<()> {
     let text = |name: &str| matches.get_one::<Box<str>>(name).cloned().unwrap_or_default();
     let level = matches.get_one::<String>("log").map_or("info", String::as_str);
-    let _log = kernel::start_log(level)?;
+    let _log = kernel::start_json_log(level)?;
     let Some(listen) = matches.get_one::<SocketAddr>("listen").copied() else {
         return Err(kernel::Error::other("--listen is needed"));
     };
--- a/crates/demo/tests/processes.rs
+++ b/crates/demo/tests/processes.rs
@@ -104,3 +104,33 @@
         }
     }
 }
+
+/// Returns the first line of a process's log with the given event.
+fn logged(process: &mut Process, event: &str) -> Value {
+    let stdout = process.0.stdout.take().expect("its output is piped");
+    let lines = BufReader::new(stdout).lines().map_while(Result::ok);
+    let mut parsed = lines.map(|line| {
+        serde_json::from_str::<Value>(&line).unwrap_or_else(|error| panic!("{line}: {error}"))
+    });
+    parsed.find(|line| line["event"] == event).expect("the event is logged")
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn refused_search_is_told_as_json_on_standard_output() {
+    let (broker, egress) = (free_address().to_string(), free_address().to_string());
+    let args = ["--host", "a", "--domain", "x", "--listen", &broker, "--egresses", &egress];
+    let mut process = start("pistachio-broker", &args);
+    let begun = Instant::now();
+    let answer = loop {
+        if let Some(answer) = search(&broker).await {
+            break answer;
+        }
+        assert!(begun.elapsed() < Duration::from_secs(60), "no answer in a minute");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    };
+    assert_eq!(answer["outcome"], "not_run");
+    let line = logged(&mut process, "answered");
+    assert_eq!((&line["status"], &line["outcome"]), (&json!(503), &json!("not_run")));
+    assert_eq!(line["cause"], "no configuration is known yet");
+    assert_eq!(line["level"], "INFO");
+}
--- a/crates/egress/src/control.rs
+++ b/crates/egress/src/control.rs
@@ -151,14 +151,14 @@
         let revision = config.revision;
         match self.latest.advance(config) {
             Ok(true) => {
-                log::info!("configuration {revision} is in force");
+                log::info!(revision; "configuration in force");
                 self.member.set_config(revision);
                 self.metrics.config.set(i64::try_from(revision).unwrap_or(i64::MAX));
                 self.set_targets();
                 self.set_presence();
             }
             Ok(false) => {}
-            Err(error) => log::error!("configuration {revision} is refused: {error}"),
+            Err(error) => log::error!(revision, error:%; "configuration refused"),
         }
     }
 
@@ -244,9 +244,9 @@
         spawn_local(async move {
             let swap = Swap { expect, value: value.into(), lease_ms: None };
             match store.swap(&key, &swap).await {
-                Ok(Some(_)) => log::info!("roster {epoch} with {members} members was written"),
+                Ok(Some(_)) => log::info!(epoch, members; "roster written"),
                 Ok(None) => {}
-                Err(error) => log::debug!("roster {epoch} was not written: {error}"),
+                Err(error) => log::debug!(epoch, error:%; "roster not written"),
             }
             // Whatever came of it, the value that stands decides.
             let _ = events.send(Event::Written);
@@ -285,7 +285,7 @@
         self.note_held(wall);
         let roster = self.member.roster();
         if grants.keys().ne(self.grants.keys()) || roster.epoch != self.control.borrow().epoch {
-            log::info!("epoch {}: {} groups are owned here", roster.epoch, grants.len());
+            log::info!(epoch = roster.epoch, groups = grants.len(); "ownership changed");
             self.metrics.epoch.set(i64::try_from(roster.epoch).unwrap_or(i64::MAX));
             self.metrics.groups.set(i64::try_from(grants.len()).unwrap_or(i64::MAX));
         }
--- a/crates/egress/src/feed.rs
+++ b/crates/egress/src/feed.rs
@@ -107,7 +107,7 @@
         let value = match store.watch(CONFIG_KEY, seen).await {
             Ok(value) => value,
             Err(error) => {
-                log::debug!("the configuration cannot be read: {error}");
+                log::debug!(error:%; "configuration unreadable");
                 tokio::time::sleep(RETRY_TIME).await;
                 continue;
             }
@@ -118,7 +118,7 @@
             continue;
         }
         let Ok(edit) = serde_json::from_str::<Edit>(&value.value) else {
-            log::error!("configuration {} is no edit", value.revision);
+            log::error!(revision = value.revision; "configuration is no edit");
             tokio::time::sleep(RETRY_TIME).await;
             continue;
         };
--- a/crates/egress/src/handover.rs
+++ b/crates/egress/src/handover.rs
@@ -88,7 +88,7 @@
         let release = Release { epoch: command.epoch, keys, upstreams, ledgers };
         let Ok(body) = serde_json::to_vec(&release) else { return };
         let to = command.to;
-        log::info!("{} groups are handed over to {to}", release.keys.len());
+        log::info!(to:%, groups = release.keys.len(), epoch = release.epoch; "groups handed over");
         spawn_local(async move {
             let sent = async {
                 let node = wire::connect(to).await.ok()?;
@@ -97,7 +97,7 @@
                 call.send().promise.await.ok()
             };
             if sent.await.is_none() {
-                log::info!("the handover to {to} failed; it waits for the fence instead");
+                log::info!(to:%; "handover failed, the new owner waits for the fence");
             }
         });
     }
--- a/crates/egress/src/main.rs
+++ b/crates/egress/src/main.rs
@@ -50,7 +50,7 @@
     let text = |name: &str| matches.get_one::<Box<str>>(name).cloned().unwrap_or_default();
     let address = |name: &str| matches.get_one::<SocketAddr>(name).copied();
     let level = matches.get_one::<String>("log").map_or("info", String::as_str);
-    let _log = kernel::start_log(level)?;
+    let _log = kernel::start_json_log(level)?;
     let (Some(listen), Some(platform)) = (address("listen"), address("platform")) else {
         return Err(kernel::Error::other("--listen and --platform are needed"));
     };
