--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -37,9 +37,10 @@
 /// Part of the grace period after which a stopping host ends whatever is left.
 const CLOSE_SHARE: f64 = 0.93;
 
-/// Time for the way from and to the caller, beside the part of the objective below. Callers may be
-/// 3 ms away, and the platform does not say how far.
-const RETURN_TIME: Duration = Duration::from_millis(7);
+/// Time for the way from and to the caller, beside the part of the objective below. A caller in
+/// another failure domain is 2 ms away, and one that connects anew asks the directory first: three
+/// round trips and late timers.
+const RETURN_TIME: Duration = Duration::from_millis(10);
 
 /// Time over which a host opens first connections to new upstreams, which register some seconds before
 /// they get requests.
