Ask directly for parts of a request that has our own header

Cause: a caller may use any header. One named like the relays' order only lost its preferred domain; parts of other domains still went through relays, where the caller's header was replaced.

The test of that header now compares the count of orders: it failed before and passes.

--- a/crates/node/src/fan.rs
+++ b/crates/node/src/fan.rs
@@ -146,11 +146,10 @@
     /// they have by `soft`.
     pub fn start_query(&mut self, now: Instant, soft: Instant) {
         // A caller's header of that name would be lost at a relay.
-        let relays = if self.outgoing.call.headers.contains_key(ORDER_HEADER) {
-            None
-        } else {
-            self.fleet.relay_domain(now)
-        };
+        if self.outgoing.call.headers.contains_key(ORDER_HEADER) {
+            return self.start(now);
+        }
+        let relays = self.fleet.relay_domain(now);
         let chosen: Vec<_> = (0..self.parts.len())
             .filter_map(|part| Some((part, self.select(now, part, relays.as_deref())?)))
             .collect();
--- a/crates/node/tests/relay.rs
+++ b/crates/node/tests/relay.rs
@@ -164,9 +164,14 @@
 async fn order_of_a_caller_is_an_ordinary_header() {
     let world = World::start().await;
     let (node, _relay) = pair(&world).await;
+    let orders = |text: &str| -> Vec<String> {
+        text.lines().filter(|line| line.contains("orders_total")).map(Into::into).collect()
+    };
+    let before = orders(&node.metrics().await);
     let call = node.call(reqwest::Method::GET, "/all/x", "own");
     let answer = call.header("pistachio-parts", "1;1;nobody").send().await.expect("an answer");
     assert_eq!(answer.status(), 200);
     assert_eq!(answer.headers()["missing-parts"], "0");
     assert_eq!(world.ran("own"), 3);
+    assert_eq!(orders(&node.metrics().await), before, "the header would be lost at a relay");
 }
