Ask directly while a domain's relays are late

Cause: a relay that freezes holds every order for some hundred milliseconds, until its query has ended; where a domain has one relay, the next queries went there as well and had to hedge every part.

A relay whose first batch is late by as much again as its flush time gets no order. The flush time takes the place of a fixed 20 ms in comparing relays.

--- a/crates/node/src/fan.rs
+++ b/crates/node/src/fan.rs
@@ -149,16 +149,19 @@
         if self.outgoing.call.headers.contains_key(ORDER_HEADER) {
             return self.start(now);
         }
-        let relays = self.fleet.relay_domain(now);
+        let hedge = self.pace.borrow().hedge();
+        let last = soft.saturating_duration_since(now).saturating_sub(RELAY_WAY);
+        let flush = hedge.mul_f64(FLUSH_SHARE).min(last);
+        let relays = self.fleet.relay_domain(now, flush);
         let chosen: Vec<_> = (0..self.parts.len())
             .filter_map(|part| Some((part, self.select(now, part, relays.as_deref())?)))
             .collect();
         let parts = chosen.iter().enumerate();
-        let parts = parts.map(|(place, (_, member))| (place, self.relayed_by(now, member)));
+        let parts = parts.map(|(place, (_, member))| (place, self.relayed_by(now, flush, member)));
         let (direct, orders) = relay::plan(parts);
         for (domain, places) in orders {
             let parts = places.iter().map(|place| &chosen[*place]);
-            self.order(now, soft, domain, parts);
+            self.order(now, flush, domain, parts);
         }
         for place in direct {
             let (part, member) = &chosen[place];
@@ -167,10 +170,10 @@
     }
 
     /// Returns the failure domain whose relays may ask an upstream.
-    fn relayed_by<'a>(&self, now: Instant, member: &'a Member) -> Option<&'a str> {
+    fn relayed_by<'a>(&self, now: Instant, flush: Duration, member: &'a Member) -> Option<&'a str> {
         let domain = &*member.upstream.domain;
-        let relayed = member.far && !member.is_cold(now) && self.fleet.has_relay(now, domain);
-        relayed.then_some(domain)
+        let relayed = member.far && !member.is_cold(now);
+        (relayed && self.fleet.has_relay(now, flush, domain)).then_some(domain)
     }
 
     /// Returns whether no upstream can have run any part.
@@ -343,19 +346,17 @@
     fn order<'a>(
         &mut self,
         now: Instant,
-        soft: Instant,
+        flush: Duration,
         domain: &str,
         parts: impl Iterator<Item = &'a (usize, Rc<Member>)>,
     ) {
-        let Some(peer) = self.fleet.relay(now, domain) else {
+        let Some(peer) = self.fleet.relay(now, flush, domain) else {
             for (part, member) in parts {
                 self.launch(now, *part, member);
             }
             return;
         };
         let hedge = self.pace.borrow().hedge();
-        let last = soft.saturating_duration_since(now).saturating_sub(RELAY_WAY);
-        let flush = hedge.mul_f64(FLUSH_SHARE).min(last);
         let mut upstreams = Vec::new();
         let mut flights = Vec::new();
         for (part, member) in parts {
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -64,9 +64,6 @@
 /// The same for parts that come through a relay in one message with others.
 const RELAYED_COST: f64 = 2.0;
 
-/// Time that a relay is expected to take, to which its load and its slowness are compared.
-const RELAY_TYPICAL: Duration = Duration::from_millis(20);
-
 /// Fraction of the greatest processor share below which a host is no relay: a weak host would hold
 /// up the parts of a whole order.
 const RELAY_POWER: f64 = 0.5;
@@ -253,31 +250,31 @@
     }
 
     /// Draws a failure domain, other than this host's, that has a relay.
-    pub fn relay_domain(&self, now: Instant) -> Option<Domain> {
+    pub fn relay_domain(&self, now: Instant, flush: Duration) -> Option<Domain> {
         let state = &mut *self.state.borrow_mut();
-        let able = |peers: &&Vec<Rc<Peer>>| peers.iter().any(|peer| peer.is_able(now));
-        let count = state.peers.values().filter(able).count();
-        let place = state.random.random_range(0..count.max(1));
-        let mut domains = state.peers.iter().filter(|(_, peers)| able(peers));
-        domains.nth(place).map(|(domain, _)| domain.clone())
+        let able = |peers: &[Rc<Peer>]| peers.iter().any(|peer| peer.is_able(now, flush));
+        let domains: Vec<_> = state.peers.iter().filter(|(_, peers)| able(peers)).collect();
+        let place = state.random.random_range(0..domains.len().max(1));
+        domains.get(place).map(|(domain, _)| (*domain).clone())
     }
 
     /// Returns whether a failure domain has a relay that can take an order.
-    pub fn has_relay(&self, now: Instant, domain: &str) -> bool {
+    pub fn has_relay(&self, now: Instant, flush: Duration, domain: &str) -> bool {
         let state = self.state.borrow();
-        state.peers.get(domain).is_some_and(|peers| peers.iter().any(|peer| peer.is_able(now)))
+        let able = |peer: &Rc<Peer>| peer.is_able(now, flush);
+        state.peers.get(domain).is_some_and(|peers| peers.iter().any(able))
     }
 
     /// Chooses the relay of a failure domain that is the least busy.
-    pub fn relay(&self, now: Instant, domain: &str) -> Option<Rc<Peer>> {
+    pub fn relay(&self, now: Instant, flush: Duration, domain: &str) -> Option<Rc<Peer>> {
         let state = &mut *self.state.borrow_mut();
-        let peers = state.peers.get(domain)?.iter().filter(|peer| peer.is_able(now));
+        let peers = state.peers.get(domain)?.iter().filter(|peer| peer.is_able(now, flush));
         let peers: Vec<_> = peers.collect();
         let replicas: Vec<_> = peers.iter().map(|peer| peer.replica.borrow()).collect();
         let distance = Duration::ZERO;
         let candidates: Vec<_> =
             replicas.iter().map(|replica| Candidate { replica, distance }).collect();
-        let index = pick::choose(now, RELAY_TYPICAL, &candidates, state.random.random())?;
+        let index = pick::choose(now, flush, &candidates, state.random.random())?;
         Some(Rc::clone(peers[index]))
     }
 
--- a/crates/node/src/peer.rs
+++ b/crates/node/src/peer.rs
@@ -44,8 +44,13 @@
         })
     }
 
-    /// Returns whether an order may be sent.
-    pub fn is_able(&self, now: Instant) -> bool {
-        self.connections.has_room() && !self.replica.borrow().is_away(now)
+    /// Returns whether an order may be sent whose first batch is due after `flush`.
+    ///
+    /// A relay whose first batch is late by as much again is probably frozen, and all of its parts
+    /// would have to be hedged.
+    pub fn is_able(&self, now: Instant, flush: Duration) -> bool {
+        let replica = self.replica.borrow();
+        let paused = replica.pause(now, flush / 2).is_some();
+        self.connections.has_room() && !paused && !replica.is_away(now)
     }
 }
