--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -17,6 +17,7 @@
 use crate::directory;
 use crate::member::Member;
 use crate::peer::Peer;
+use crate::relays::Relays;
 
 /// Part of the shared extra requests that this host uses: what hosts that were restarted have
 /// forgotten, and what crosses the edges of a span, must fit beside it.
@@ -64,10 +65,6 @@
 /// The same for parts that come through a relay in one message with others.
 const RELAYED_COST: f64 = 2.0;
 
-/// Fraction of the greatest processor share below which a host is no relay: a weak host would hold
-/// up the parts of a whole order.
-const RELAY_POWER: f64 = 0.5;
-
 /// Recent latencies of the parts of one route.
 pub struct Pace {
     hedge: Delay,
@@ -117,7 +114,7 @@
     allowances: BTreeMap<ServiceName, Allowance>,
     paces: BTreeMap<Box<str>, Rc<RefCell<Pace>>>,
     splits: BTreeMap<Box<str>, Split>,
-    peers: BTreeMap<Domain, Vec<Rc<Peer>>>,
+    relays: Relays,
     windows: BTreeMap<Box<str>, Window>,
     random: StdRng,
     dialers: Option<(Instant, usize)>,
@@ -174,7 +171,7 @@
             allowances: BTreeMap::new(),
             paces: BTreeMap::new(),
             splits: BTreeMap::new(),
-            peers: BTreeMap::new(),
+            relays: Relays::default(),
             windows: BTreeMap::new(),
             random: StdRng::seed_from_u64(seed),
             dialers: None,
@@ -221,7 +218,7 @@
             }
         }
         state.members = members;
-        state.peers = self.relays(&view, &state.peers);
+        state.relays.update(&view, &self.settings.domain);
         let shared = |(name, members): (_, Vec<_>)| (name, Rc::from(members));
         state.services = services.into_iter().map(shared).collect();
         state.slack = self.slack(&view, &dialers);
@@ -249,33 +246,22 @@
         self.state.borrow().members.get(id).cloned()
     }
 
-    /// Draws a failure domain, other than this host's, that has a relay.
+    /// Draws a failure domain, other than this host's, that has a relay for an order which is due
+    /// after `flush`.
     pub fn relay_domain(&self, now: Instant, flush: Duration) -> Option<Domain> {
         let state = &mut *self.state.borrow_mut();
-        let able = |peers: &[Rc<Peer>]| peers.iter().any(|peer| peer.is_able(now, flush));
-        let domains: Vec<_> = state.peers.iter().filter(|(_, peers)| able(peers)).collect();
-        let place = state.random.random_range(0..domains.len().max(1));
-        domains.get(place).map(|(domain, _)| (*domain).clone())
+        state.relays.draw(now, flush, state.random.random())
     }
 
-    /// Returns whether a failure domain has a relay that can take an order.
+    /// Returns whether a failure domain has a relay that can take such an order.
     pub fn has_relay(&self, now: Instant, flush: Duration, domain: &str) -> bool {
-        let state = self.state.borrow();
-        let able = |peer: &Rc<Peer>| peer.is_able(now, flush);
-        state.peers.get(domain).is_some_and(|peers| peers.iter().any(able))
+        self.state.borrow().relays.has(now, flush, domain)
     }
 
     /// Chooses the relay of a failure domain that is the least busy.
     pub fn relay(&self, now: Instant, flush: Duration, domain: &str) -> Option<Rc<Peer>> {
         let state = &mut *self.state.borrow_mut();
-        let peers = state.peers.get(domain)?.iter().filter(|peer| peer.is_able(now, flush));
-        let peers: Vec<_> = peers.collect();
-        let replicas: Vec<_> = peers.iter().map(|peer| peer.replica.borrow()).collect();
-        let distance = Duration::ZERO;
-        let candidates: Vec<_> =
-            replicas.iter().map(|replica| Candidate { replica, distance }).collect();
-        let index = pick::choose(now, flush, &candidates, state.random.random())?;
-        Some(Rc::clone(peers[index]))
+        state.relays.choose(now, flush, domain, state.random.random())
     }
 
     /// Returns the latencies of a route's parts.
@@ -366,25 +352,6 @@
         all * (1.0 - DIALER_SLACK) / others as f64
     }
 
-    /// Returns the relays of the other failure domains; those that stay keep their state.
-    fn relays(
-        &self,
-        view: &View,
-        before: &BTreeMap<Domain, Vec<Rc<Peer>>>,
-    ) -> BTreeMap<Domain, Vec<Rc<Peer>>> {
-        let most = view.hosts.values().map(|host| host.power).fold(0.0, f64::max);
-        let strong = view.hosts.values().filter(|host| host.power >= most * RELAY_POWER);
-        let mut relays: BTreeMap<Domain, Vec<Rc<Peer>>> = BTreeMap::new();
-        for host in strong.filter(|host| host.domain != self.settings.domain) {
-            let same =
-                |peer: &&Rc<Peer>| peer.name == host.name && Some(peer.address) == host.relay;
-            let known = before.get(&host.domain).and_then(|peers| peers.iter().find(same));
-            let peer = known.cloned().or_else(|| Peer::new(host).map(Rc::new));
-            relays.entry(host.domain.clone()).or_default().extend(peer);
-        }
-        relays
-    }
-
     fn adopt(
         &self,
         now: Instant,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -20,6 +20,7 @@
 mod pool;
 mod relay;
 mod relayed;
+mod relays;
 mod sending;
 mod server;
 mod start;
