Count a shard whose upstreams are gone as lost before anything is sent

Each query tried them anew, lost the parts after a few milliseconds and was answered 504 with its other parts running already: 245 of 375 queries in 3.5 s, which callers repeat at once.

After three losses in a row an upstream counts as closed for 250 ms after each try; one query then finds out.

--- a/crates/pick/src/replica.rs
+++ b/crates/pick/src/replica.rs
@@ -35,6 +35,14 @@
 /// Longest such time; one request in this time finds out whether it is back.
 const MOST_AWAY: Duration = Duration::from_millis(2_000);
 
+/// Losses in a row from which an upstream is taken to be gone; fewer may be connections that broke
+/// together.
+const GONE_LOSSES: u32 = 3;
+
+/// Time after a loss in which nothing is tried at an upstream that is taken to be gone; one request
+/// then finds out.
+const GONE_PAUSE: Duration = Duration::from_millis(250);
+
 /// How a request to a replica ended.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Outcome {
@@ -65,6 +73,7 @@
     failures: Decay,
     reported: Decay,
     away: Option<(Instant, Duration)>,
+    losses: u32,
     cold: Option<Cold>,
 }
 
@@ -79,6 +88,7 @@
             failures: Decay::new(0.0, HALF_LIFE),
             reported: Decay::new(0.0, HALF_LIFE / 10),
             away: None,
+            losses: 0,
             cold: None,
         }
     }
@@ -110,6 +120,11 @@
     /// Counts the end of a request.
     pub fn end(&mut self, now: Instant, token: Token, outcome: Outcome) {
         self.open.remove(&token);
+        match outcome {
+            Outcome::Lost => self.losses += 1,
+            Outcome::Abandoned => {}
+            _ => self.losses = 0,
+        }
         match outcome {
             Outcome::Answered { time, typical } => {
                 let ratio = time.as_secs_f64() / typical.as_secs_f64().max(1e-6);
@@ -149,7 +164,14 @@
 
     /// Returns from when on the upstream may get a request.
     pub fn opens(&self, now: Instant) -> Instant {
-        self.cold.map_or(now, |cold| cold.opens(now))
+        let cold = self.cold.map_or(now, |cold| cold.opens(now));
+        match self.away {
+            Some((until, time)) if self.losses >= GONE_LOSSES => {
+                let tried = until.checked_sub(time).unwrap_or(until);
+                cold.max(tried + GONE_PAUSE)
+            }
+            _ => cold,
+        }
     }
 
     /// Returns whether the upstream could not be reached lately and is not due for another try.
--- a/crates/pick/tests/pick.rs
+++ b/crates/pick/tests/pick.rs
@@ -161,3 +161,25 @@
     assert_eq!(replica.opens(now), now + spacing);
     assert_eq!(replica.opens(until), until);
 }
+
+/// Pattern: the last upstream of a shard crashes and comes back seconds later.
+#[test]
+fn upstream_that_is_gone_is_tried_four_times_a_second() {
+    let now = Instant::now();
+    let mut replica = Replica::new(2);
+    let lose = |replica: &mut Replica, now| {
+        let token = replica.begin(now);
+        replica.end(now, token, Outcome::Lost);
+    };
+    lose(&mut replica, now);
+    lose(&mut replica, now);
+    assert_eq!(replica.opens(now), now);
+    lose(&mut replica, now);
+    let probe = now + Duration::from_millis(250);
+    assert_eq!(replica.opens(now), probe);
+    let token = replica.begin(probe);
+    assert_eq!(replica.opens(probe), probe + Duration::from_millis(250));
+    let typical = Duration::from_millis(5);
+    replica.end(probe, token, Outcome::Answered { time: typical, typical });
+    assert_eq!(replica.opens(probe), probe);
+}
