Soak: make changes once all hosts are calm

Bounds in time hold for calm hosts only, and while faults overlap no moment is calm for all of them.

--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -8,8 +8,8 @@
 use std::time::{Duration, Instant};
 
 use gather::greatest;
-use rand::SeedableRng;
 use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 use rustix::process::Signal;
 use standin::{Fault, Mood};
 
@@ -115,6 +115,7 @@
     if !stage.wait_serving(RECOVERY).await {
         lock(&stage.report).breaks(Broken::NotRecovered, "a host does not serve after all faults");
     }
+    stage.calm_changes(random.random_range(0..1_000)).await;
     stage.done.store(true, Ordering::Relaxed);
     for client in clients {
         client.await?;
@@ -146,6 +147,14 @@
         true
     }
 
+    /// Makes changes once every host has been calm for long enough to be held to bounds in time, which
+    /// hardly happens while faults overlap.
+    async fn calm_changes(&self, place: usize) {
+        tokio::time::sleep(CONTACT + MACHINE_SLACK).await;
+        lock(&self.world).configure();
+        tokio::join!(self.drain(place), self.domain_out(place + 1));
+    }
+
     fn next_id(&self) -> String {
         format!("{}-{}", self.seed, self.ids.fetch_add(1, Ordering::Relaxed))
     }
