--- a/crates/standin/src/kv.rs
+++ b/crates/standin/src/kv.rs
@@ -22,6 +22,9 @@
 /// Items in one page, few so that reads of several pages are the rule in tests.
 const PAGE: usize = 8;
 
+/// Events in one answer to a watch; the rest follows from the revision that the answer names.
+const EVENTS: usize = 80;
+
 /// How the store misbehaves.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Mood {
@@ -231,14 +234,13 @@
                 if after < state.compacted {
                     return (410, Value::Null);
                 }
-                let events: Vec<Value> = state
-                    .history
-                    .iter()
-                    .filter(|event| event.revision > after)
-                    .map(event)
-                    .collect();
+                let mut rest = state.history.iter().filter(|event| event.revision > after);
+                let events: Vec<&Event> = rest.by_ref().take(EVENTS).collect();
+                let last = events.last().map(|event| event.revision);
+                let as_of = last.filter(|_| rest.next().is_some()).unwrap_or(state.revision);
                 if !events.is_empty() || tokio::time::Instant::now() >= end {
-                    return (200, json!({"events": events, "as_of": state.revision}));
+                    let events: Vec<Value> = events.into_iter().map(event).collect();
+                    return (200, json!({"events": events, "as_of": as_of}));
                 }
             }
             // The end of the wait is as good as a change.
