Serve orders with the loop that serves questions

The relay's accept loop was a copy of server::serve with another idle time and no date header; the loop now takes how connections are served. Behaviour stays as it was, but for the text of one debug line.

--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -13,9 +13,8 @@
 use http_body_util::{Either, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
 use hyper::server::conn::http1;
-use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioTimer;
 use platform::Call;
 use relay::{Batch, Collector, End, ORDER_HEADER, Order};
 use tokio::time::sleep_until;
@@ -25,7 +24,7 @@
 use crate::metrics::Metrics;
 use crate::peer::KEEP;
 use crate::sending::{Finished, Flight, Outgoing, send};
-use crate::server::{accept, adopt};
+use crate::server::serve;
 use crate::verdict::read_body;
 
 /// Time after the other side's own limit at which an idle connection for orders is closed.
@@ -55,25 +54,12 @@
 
     /// Takes orders for as long as the thread runs.
     pub async fn run(self: Rc<Self>, listener: TcpListener) {
-        let listener = adopt(listener);
-        loop {
-            let stream = TokioIo::new(accept(&listener).await);
-            let relay = Rc::clone(&self);
-            tokio::task::spawn_local(async move {
-                let service = service_fn(move |request| {
-                    let relay = Rc::clone(&relay);
-                    async move { Ok::<_, Infallible>(relay.answer(request).await) }
-                });
-                let connection = http1::Builder::new()
-                    .timer(TokioTimer::new())
-                    .auto_date_header(false)
-                    .header_read_timeout(KEEP + IDLE_MARGIN)
-                    .serve_connection(stream, service);
-                if let Err(error) = connection.await {
-                    log::debug!(error:%; "a connection for orders broke");
-                }
-            });
-        }
+        let mut builder = http1::Builder::new();
+        builder
+            .timer(TokioTimer::new())
+            .auto_date_header(false)
+            .header_read_timeout(KEEP + IDLE_MARGIN);
+        serve(listener, builder, move |request| Rc::clone(&self).answer(request)).await;
     }
 
     /// Answers an order; any status but 200 says that nothing was sent.
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -62,28 +62,36 @@
     }
 }
 
-/// Answers every request on `listener` with `answer`, for as long as the thread runs.
-pub async fn serve<F>(
+/// Returns how connections for questions are served.
+pub fn questions() -> http1::Builder {
+    let mut builder = http1::Builder::new();
+    builder.timer(TokioTimer::new()).header_read_timeout(IDLE_TIME);
+    builder
+}
+
+/// Answers every request on `listener` with `answer`, for as long as the thread runs; `builder` says
+/// how connections are served.
+pub async fn serve<F, B>(
     listener: TcpListener,
+    builder: http1::Builder,
     answer: impl Fn(Request<Incoming>) -> F + Clone + 'static,
 ) where
-    F: Future<Output = Response<Body>> + 'static,
+    F: Future<Output = Response<B>> + 'static,
+    B: hyper::body::Body + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     let listener = adopt(listener);
     loop {
         let stream = accept(&listener).await;
-        let answer = answer.clone();
+        let (answer, builder) = (answer.clone(), builder.clone());
         tokio::task::spawn_local(async move {
             let service = service_fn(move |request| {
                 let response = answer(request);
                 async move { Ok::<_, Infallible>(response.await) }
             });
-            let connection = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(IDLE_TIME)
-                .serve_connection(TokioIo::new(stream), service);
+            let connection = builder.serve_connection(TokioIo::new(stream), service);
             if let Err(error) = connection.await {
-                log::debug!(error:%; "a connection for questions broke");
+                log::debug!(error:%; "a connection of another host, the platform or a caller broke");
             }
         });
     }
--- a/crates/rules/src/grammar.rs
+++ b/crates/rules/src/grammar.rs
@@ -105,9 +105,7 @@
         .subcommand(
             Command::new("repeat")
                 .arg(name())
-                .arg(
-                    Arg::new("operation").long("operation").required(true).value_parser(parse_name),
-                )
+                .arg(word("operation", parse_name).required(true))
                 .arg(Arg::new("never").long("never").action(ArgAction::SetTrue).required(true)),
         )
         .subcommand(
