Log and count rate limits that upstreams announce

Hosts did not decode Server-Limit, so nothing showed what an upstream had named, when a host learned it and what it sent afterwards. The header is decoded, each change is one log line, and attempts at upstreams with a limit are counted by origin.

--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -15,7 +15,7 @@
 use crate::endpoint::Endpoint;
 use crate::exchange::{Completion, exchange};
 use crate::latency::Latency;
-use crate::metrics::Metrics;
+use crate::metrics::{Metrics, Origin};
 
 /// Multiple of the typical latency that, together with [`SILENCE_MARGIN`], may pass without an
 /// answer before the upstream counts as lost.
@@ -169,11 +169,15 @@
 pub async fn send(
     sent: Instant,
     part: usize,
+    origin: Origin,
     attempt: Attempt,
     outgoing: Rc<Outgoing>,
     metrics: Arc<Metrics>,
 ) -> Finished {
     let endpoint = Rc::clone(attempt.endpoint());
+    if endpoint.count_limited_request() {
+        metrics.limited_attempts.get_or_create(&origin).inc();
+    }
     let remaining = outgoing.remaining(sent);
     let headers = platform::upstream_headers(&outgoing.call, &endpoint.upstream.id, remaining);
     let request = outgoing.request(headers);
--- a/crates/node/src/endpoint.rs
+++ b/crates/node/src/endpoint.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use pick::Replica;
+use platform::Answer;
 use table::Upstream;
 
 use crate::pool::Pool;
@@ -22,6 +23,10 @@
     pub remote: bool,
     /// Whether another process answered at the address. The next entry of the upstream resets this.
     pub replaced: Cell<bool>,
+    /// Rate limit that the latest answer stated, in requests per second.
+    rate_limit: Cell<Option<f64>>,
+    /// Requests sent since the upstream first stated the rate limit.
+    limited_requests: Cell<u32>,
 }
 
 impl Endpoint {
@@ -36,6 +41,8 @@
             upstream,
             remote,
             replaced: Cell::new(false),
+            rate_limit: Cell::new(previous.and_then(|previous| previous.rate_limit.get())),
+            limited_requests: Cell::new(0),
         }
     }
 
@@ -44,6 +51,33 @@
         self.replica.borrow().is_cold(now)
     }
 
+    /// Records whether an answer states a rate limit, and logs each change. A refusal without a
+    /// rate limit says nothing, since the upstream has not run the request.
+    pub fn record_rate_limit(&self, answer: &Answer) {
+        if answer.rate_limit.is_none() && answer.refused {
+            return;
+        }
+        let before = self.rate_limit.replace(answer.rate_limit);
+        if before == answer.rate_limit {
+            return;
+        }
+        log::info!(
+            upstream = self.upstream.id,
+            service = self.upstream.service,
+            rate_limit = answer.rate_limit,
+            previous = before,
+            requests = self.limited_requests.take();
+            "rate limit of an upstream changed"
+        );
+    }
+
+    /// Counts a request; returns whether the upstream has stated a rate limit.
+    pub fn count_limited_request(&self) -> bool {
+        let limited = self.rate_limit.get().is_some();
+        self.limited_requests.set(self.limited_requests.get() + u32::from(limited));
+        limited
+    }
+
     /// Returns whether this host may send to the upstream on behalf of another host.
     pub fn accepts_relayed(&self, now: Instant) -> bool {
         self.has_room() && !self.is_cold(now) && !self.replica.borrow().is_ejected(now)
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -107,6 +107,9 @@
     if !answer.matches_request {
         return Completion::Unknown { cause: "answer to another request" };
     }
+    if response.status() != StatusCode::MISDIRECTED_REQUEST {
+        endpoint.record_rate_limit(&answer);
+    }
     let Some(reply) = pooled.connection().drive(collect(response, answer)).await else {
         return Completion::Unknown { cause: "answer incomplete or too large" };
     };
--- a/crates/node/src/fanout.rs
+++ b/crates/node/src/fanout.rs
@@ -20,7 +20,7 @@
 use crate::endpoint::Endpoint;
 use crate::exchange::{Completion, Reply};
 use crate::latency::Latency;
-use crate::metrics::Metrics;
+use crate::metrics::{Metrics, Origin};
 use crate::registry::Registry;
 use crate::relay_call::{Progress, RelayCall};
 
@@ -189,7 +189,7 @@
         }
         for index in direct {
             let (part, endpoint) = &chosen[index];
-            self.launch(now, *part, endpoint);
+            self.launch(now, *part, endpoint, Origin::FIRST);
         }
     }
 
@@ -317,7 +317,7 @@
             return;
         }
         self.metrics.hedges.inc();
-        self.launch(now, index, &endpoint);
+        self.launch(now, index, &endpoint, Origin::HEDGE);
     }
 
     /// Starts an attempt for a part that has none in flight, or schedules it for later. Returns
@@ -334,7 +334,8 @@
             part.obstacle = Some("attempt budget exhausted before a retry");
             return false;
         }
-        self.launch(now, index, &endpoint);
+        let origin = if part.first_sent.is_some() { Origin::RETRY } else { Origin::FIRST };
+        self.launch(now, index, &endpoint, origin);
         true
     }
 
@@ -382,11 +383,11 @@
         self.next_due = Some(self.next_due.map_or(due, |next| next.min(due)));
     }
 
-    fn launch(&mut self, now: Instant, index: usize, endpoint: &Rc<Endpoint>) {
+    fn launch(&mut self, now: Instant, index: usize, endpoint: &Rc<Endpoint>, origin: Origin) {
         let hedge_delay = self.latency.borrow().hedge_delay();
         let attempt = self.begin_attempt(now, index, endpoint, hedge_delay);
         let (outgoing, metrics) = (Rc::clone(&self.outgoing), Arc::clone(&self.metrics));
-        let finished = send(now, index, attempt, outgoing, metrics);
+        let finished = send(now, index, origin, attempt, outgoing, metrics);
         self.in_flight.push(Box::pin(async { Completed::Attempt(finished.await) }));
     }
 
@@ -400,7 +401,7 @@
     ) {
         let Some(peer) = self.registry.relay(now, flush_timeout, domain) else {
             for (part, endpoint) in parts {
-                self.launch(now, *part, endpoint);
+                self.launch(now, *part, endpoint, Origin::FIRST);
             }
             return;
         };
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -20,6 +20,24 @@
     pub outcome: &'static str,
 }
 
+/// Label set of the attempts at upstreams that state a rate limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Origin {
+    /// Why the attempt was sent; the values are part of the interface.
+    pub origin: &'static str,
+}
+
+impl Origin {
+    /// First attempt for a part of a request of this host.
+    pub const FIRST: Self = Self { origin: "first" };
+    /// Second attempt for a part that is late.
+    pub const HEDGE: Self = Self { origin: "hedge" };
+    /// Attempt for a part after another one has ended without an answer.
+    pub const RETRY: Self = Self { origin: "retry" };
+    /// Attempt on behalf of another host.
+    pub const RELAY: Self = Self { origin: "relay" };
+}
+
 /// Label set of the responses.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct Status {
@@ -36,6 +54,8 @@
     pub latency: Histogram,
     /// Ended attempts at upstreams, including abandoned ones, by outcome.
     pub attempts: Family<Outcome, Counter>,
+    /// Attempts at upstreams that state a rate limit, by origin.
+    pub limited_attempts: Family<Origin, Counter>,
     /// Hedges: attempts sent because the first attempt for a part was late.
     pub hedges: Counter,
     /// Extra attempts that the attempt budget denied.
@@ -63,6 +83,7 @@
             answers: Family::default(),
             latency: Histogram::new(LATENCY_BUCKETS_SECONDS),
             attempts: Family::default(),
+            limited_attempts: Family::default(),
             hedges: Counter::default(),
             extra_attempts_denied: Counter::default(),
             parts_missing: Counter::default(),
@@ -96,6 +117,11 @@
             "Ended attempts at upstreams, including abandoned ones, by outcome",
             self.attempts.clone(),
         );
+        registry.register(
+            "limited_attempts",
+            "Attempts sent to upstreams that state a rate limit, by origin",
+            self.limited_attempts.clone(),
+        );
         registry.register("hedges", "Hedges sent for late parts", self.hedges.clone());
         registry.register(
             "extras_denied",
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -21,7 +21,7 @@
 
 use crate::attempt::{Attempt, Finished, Outgoing, send};
 use crate::exchange::Completion;
-use crate::metrics::Metrics;
+use crate::metrics::{Metrics, Origin};
 use crate::outcome::read_body;
 use crate::peer::IDLE_TTL;
 use crate::registry::Registry;
@@ -130,8 +130,8 @@
                 continue;
             };
             let attempt = Attempt::begin(now, &endpoint, &latency, &self.metrics);
-            let finished =
-                send(now, part, attempt, Rc::clone(&outgoing), Arc::clone(&self.metrics));
+            let (outgoing, metrics) = (Rc::clone(&outgoing), Arc::clone(&self.metrics));
+            let finished = send(now, part, Origin::RELAY, attempt, outgoing, metrics);
             job.attempts.push(Box::pin(finished));
         }
         Ok(job)
