--- a/crates/standin/src/shard.rs
+++ b/crates/standin/src/shard.rs
@@ -8,7 +8,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use ::platform::names::{EXPECT_INSTANCE, INSTANCE, LOAD, NOT_EXECUTED, REQUEST_ID, STAMP};
+use ::platform::names::{EXPECT_INSTANCE, INSTANCE, LIMIT, LOAD, NOT_EXECUTED, REQUEST_ID, STAMP};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -55,6 +55,7 @@
     waiting: usize,
     slots: usize,
     service_time: Duration,
+    rate_limit: Option<f64>,
     records: Box<[u8]>,
     runs: Vec<Run>,
     arrivals: usize,
@@ -120,6 +121,11 @@
         self.state().service_time = service_time;
     }
 
+    /// Sets the rate limit that answers state, in requests per second. It is not enforced.
+    pub fn set_rate_limit(&self, rate_limit: Option<f64>) {
+        self.state().rate_limit = rate_limit;
+    }
+
     /// Returns the requests that have started to run, in their order.
     pub fn runs(&self) -> Vec<Run> {
         self.state().runs.clone()
@@ -179,17 +185,18 @@
             std::future::pending::<()>().await;
         }
         let _slot = self.acquire_slot().await;
-        let (service_time, records) = {
+        let (service_time, rate_limit, records) = {
             let mut state = self.state();
             let run = Run { id: id.into(), line: message.line.clone(), body: message.body.clone() };
             state.runs.push(run);
-            (state.service_time, state.records.clone())
+            (state.service_time, state.rate_limit, state.records.clone())
         };
         tokio::time::sleep(service_time).await;
         let status = if fault == Fault::Error { "500 Failed" } else { "200 OK" };
         let stamp = format!("{instance}.{id}.{}", records.len());
+        let limit = rate_limit.map_or_else(String::new, |rate| format!("{LIMIT}: {rate}\r\n"));
         let head = format!(
-            "HTTP/1.1 {status}\r\n{REQUEST_ID}: {id}\r\n{STAMP}: {stamp}\r\n{LOAD}: 1,0,2\r\n"
+            "HTTP/1.1 {status}\r\n{REQUEST_ID}: {id}\r\n{STAMP}: {stamp}\r\n{LOAD}: 1,0,2\r\n{limit}"
         );
         match fault {
             Fault::Lose => Ok(false),
