Divide the rate limit of an upstream among the hosts

Callers saw nothing: an upstream that named a limit kept its usual share of the requests and went on answering. The cause is that hosts did not read the limit. The new counters ruled out that hosts keep to it one by one (one host alone exceeded it) and that hedges, retries or the restart at 13 s make up the excess.

Each host takes a fixed part of every limit, worked out from the list of hosts that all of them have, so that the sum stays below it without any message; relays leave upstreams with a limit to the host of the query and tell it the limit.

--- a/crates/node/src/endpoint.rs
+++ b/crates/node/src/endpoint.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use pick::Replica;
+use pick::{Hosts, Replica};
 use platform::Answer;
 use table::Upstream;
 
@@ -23,16 +23,21 @@
     pub remote: bool,
     /// Whether another process answered at the address. The next entry of the upstream resets this.
     pub replaced: Cell<bool>,
-    /// Rate limit that the latest answer stated, in requests per second.
-    rate_limit: Cell<Option<f64>>,
-    /// Requests sent since the upstream first stated the rate limit.
+    /// The hosts among which the rate limit of the upstream is divided.
+    hosts: Rc<RefCell<Hosts>>,
+    /// Requests sent since the rate limit of the upstream last changed.
     limited_requests: Cell<u32>,
 }
 
 impl Endpoint {
-    /// Creates an endpoint. It shares statistics and connections with `previous`, which is the
+    /// Creates an endpoint. Rate limits of the upstream are divided among `hosts`. It shares statistics and connections with `previous`, which is the
     /// endpoint of an earlier entry of the same process.
-    pub fn new(upstream: Arc<Upstream>, remote: bool, previous: Option<&Self>) -> Self {
+    pub fn new(
+        upstream: Arc<Upstream>,
+        remote: bool,
+        hosts: &Rc<RefCell<Hosts>>,
+        previous: Option<&Self>,
+    ) -> Self {
         let replica = previous.map(|previous| Rc::clone(&previous.replica));
         let connections = previous.map(|previous| Rc::clone(&previous.connections));
         Self {
@@ -41,7 +46,7 @@
             upstream,
             remote,
             replaced: Cell::new(false),
-            rate_limit: Cell::new(previous.and_then(|previous| previous.rate_limit.get())),
+            hosts: Rc::clone(hosts),
             limited_requests: Cell::new(0),
         }
     }
@@ -51,36 +56,73 @@
         self.replica.borrow().is_cold(now)
     }
 
-    /// Records whether an answer states a rate limit, and logs each change. A refusal without a
-    /// rate limit says nothing, since the upstream has not run the request.
-    pub fn record_rate_limit(&self, answer: &Answer) {
-        if answer.rate_limit.is_none() && answer.refused {
-            return;
+    /// Records whether the answer to a request that was sent at `sent` states a rate limit.
+    ///
+    /// A refusal without a rate limit says nothing, since the upstream has not run the request.
+    pub fn record_answer(&self, now: Instant, sent: Instant, answer: &Answer) {
+        match answer.rate_limit {
+            Some(limit) => self.record_rate_limit(now, limit),
+            None if answer.refused => {}
+            None => {
+                let before = self.rate_limit(now);
+                self.replica.borrow_mut().lift_rate_limit(sent);
+                self.log_rate_limit_change(now, before);
+            }
         }
-        let before = self.rate_limit.replace(answer.rate_limit);
-        if before == answer.rate_limit {
+    }
+
+    /// Records that the upstream has stated a rate limit, in requests per second for all hosts
+    /// together.
+    pub fn record_rate_limit(&self, now: Instant, limit: f64) {
+        let before = self.rate_limit(now);
+        let rate = self.hosts.borrow().rate(&self.upstream.id, limit);
+        self.replica.borrow_mut().state_rate_limit(now, limit, rate);
+        self.log_rate_limit_change(now, before);
+    }
+
+    /// Applies a change of the hosts among which the rate limit is divided.
+    pub fn update_rate(&self, now: Instant) {
+        if let Some(limit) = self.rate_limit(now) {
+            let rate = self.hosts.borrow().rate(&self.upstream.id, limit);
+            self.replica.borrow_mut().set_rate(rate);
+        }
+    }
+
+    /// Returns the rate limit of the upstream in requests per second for all hosts together, if one
+    /// is in force.
+    pub fn rate_limit(&self, now: Instant) -> Option<f64> {
+        self.replica.borrow().rate_limit(now)
+    }
+
+    /// Counts a request; returns whether a rate limit of the upstream is in force.
+    pub fn count_limited_request(&self, now: Instant) -> bool {
+        let limited = self.rate_limit(now).is_some();
+        self.limited_requests.set(self.limited_requests.get() + u32::from(limited));
+        limited
+    }
+
+    fn log_rate_limit_change(&self, now: Instant, before: Option<f64>) {
+        let rate_limit = self.rate_limit(now);
+        if before == rate_limit {
             return;
         }
         log::info!(
             upstream = self.upstream.id,
             service = self.upstream.service,
-            rate_limit = answer.rate_limit,
+            rate_limit,
             previous = before,
             requests = self.limited_requests.take();
             "rate limit of an upstream changed"
         );
     }
 
-    /// Counts a request; returns whether the upstream has stated a rate limit.
-    pub fn count_limited_request(&self) -> bool {
-        let limited = self.rate_limit.get().is_some();
-        self.limited_requests.set(self.limited_requests.get() + u32::from(limited));
-        limited
-    }
-
-    /// Returns whether this host may send to the upstream on behalf of another host.
+    /// Returns whether this host may send to the upstream on behalf of another host. A host sends
+    /// to an upstream with a rate limit itself, because each has its own part of the limit.
     pub fn accepts_relayed(&self, now: Instant) -> bool {
-        self.has_room() && !self.is_cold(now) && !self.replica.borrow().is_ejected(now)
+        self.has_room()
+            && !self.is_cold(now)
+            && self.rate_limit(now).is_none()
+            && !self.replica.borrow().is_ejected(now)
     }
 
     /// Returns whether a request can be sent now: the address still belongs to the upstream, and a
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -87,7 +87,8 @@
     id: &HeaderValue,
     metrics: &Metrics,
 ) -> Completion {
-    let mut pooled = match endpoint.connections.checkout(Instant::now()) {
+    let sent = Instant::now();
+    let mut pooled = match endpoint.connections.checkout(sent) {
         Some(pooled) => pooled,
         None => match connect(endpoint, metrics).await {
             Some(pooled) => pooled,
@@ -108,7 +109,7 @@
         return Completion::Unknown { cause: "answer to another request" };
     }
     if response.status() != StatusCode::MISDIRECTED_REQUEST {
-        endpoint.record_rate_limit(&answer);
+        endpoint.record_answer(Instant::now(), sent, &answer);
     }
     let Some(reply) = pooled.connection().drive(collect(response, answer)).await else {
         return Completion::Unknown { cause: "answer incomplete or too large" };
--- a/crates/node/src/fanout.rs
+++ b/crates/node/src/fanout.rs
@@ -211,7 +211,8 @@
         endpoint: &'a Endpoint,
     ) -> Option<&'a str> {
         let domain = &*endpoint.upstream.domain;
-        let relayable = endpoint.remote && !endpoint.is_cold(now);
+        let relayable =
+            endpoint.remote && !endpoint.is_cold(now) && endpoint.rate_limit(now).is_none();
         (relayable && self.registry.has_relay(now, flush_timeout, domain)).then_some(domain)
     }
 
@@ -521,6 +522,8 @@
         "address now belongs to another upstream"
     } else if endpoints.iter().all(|endpoint| endpoint.is_cold(now)) {
         "all upstreams are warming up"
+    } else if endpoints.iter().all(|endpoint| !endpoint.replica.borrow().is_usable(now)) {
+        "rate limits of all upstreams reached"
     } else if endpoints.iter().any(|endpoint| !endpoint.has_room()) {
         "connection limit reached or address reassigned at one or more upstreams"
     } else {
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -8,7 +8,7 @@
 
 use hedge::{Purpose, WindowBudget};
 use limit::Window;
-use pick::{Candidate, ColdStart};
+use pick::{Candidate, ColdStart, Hosts};
 use platform::Settings;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -63,6 +63,7 @@
     splits: BTreeMap<Box<str>, Split>,
     relays: Relays,
     windows: BTreeMap<Box<str>, Window>,
+    hosts: Rc<RefCell<Hosts>>,
     random: StdRng,
     recent_advertised: Option<(Instant, usize)>,
     /// Fixed number of extra attempts that this host may send to each service per window, whatever
@@ -124,6 +125,7 @@
             splits: BTreeMap::new(),
             relays: Relays::default(),
             windows: BTreeMap::new(),
+            hosts: Rc::new(RefCell::new(Hosts::new(&settings.host))),
             random: StdRng::seed_from_u64(seed),
             recent_advertised: None,
             slack: 0.0,
@@ -146,6 +148,7 @@
             count: state.recent_advertised(now, names.len()),
             includes_self: names.contains(&self.settings.host),
         };
+        state.hosts.borrow_mut().update(now, &names, view.hosts.len());
         let mut services: BTreeMap<ServiceName, Vec<Rc<Endpoint>>> = BTreeMap::new();
         let mut endpoints = BTreeMap::new();
         let mut new = Vec::new();
@@ -156,9 +159,10 @@
                 let known = known.filter(|endpoint| Arc::ptr_eq(&endpoint.upstream, upstream));
                 let endpoint = known.cloned().unwrap_or_else(|| {
                     let previous = state.endpoints.get(&upstream.id);
-                    Rc::new(self.create_endpoint(now, &view, upstream, previous))
+                    Rc::new(self.create_endpoint(now, &view, upstream, &state.hosts, previous))
                 });
                 endpoint.connections.set_max(max);
+                endpoint.update_rate(now);
                 if let Some(cold) = endpoint.replica.borrow_mut().cold_start_mut() {
                     cold.set_spacing(self.cold_spacing(&view, upstream));
                 }
@@ -328,6 +332,7 @@
         now: Instant,
         view: &View,
         upstream: &Arc<Upstream>,
+        hosts: &Rc<RefCell<Hosts>>,
         previous: Option<&Rc<Endpoint>>,
     ) -> Endpoint {
         let remote = upstream.domain != self.settings.domain;
@@ -336,7 +341,7 @@
                 && previous.upstream.address == upstream.address
         });
         let endpoint =
-            Endpoint::new(Arc::clone(upstream), remote, same.map(|previous| &**previous));
+            Endpoint::new(Arc::clone(upstream), remote, hosts, same.map(|previous| &**previous));
         if !upstream.warmup_left.is_zero() {
             let until = now + upstream.warmup_left;
             let cold = ColdStart::new(until, self.cold_spacing(view, upstream));
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -12,11 +12,14 @@
 use futures::stream::{FuturesUnordered, LocalBoxStream, StreamExt, unfold};
 use http_body_util::{Either, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
+use hyper::header::{HeaderName, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioTimer;
 use platform::Call;
-use relay::{Batch, Collector, End, REQUEST_HEADER, Request as RelayRequest};
+use relay::{
+    Batch, Collector, End, LIMITS_HEADER, Limits, REQUEST_HEADER, Request as RelayRequest,
+};
 use tokio::time::sleep_until;
 
 use crate::attempt::{Attempt, Finished, Outgoing, send};
@@ -31,6 +34,8 @@
 /// first.
 const IDLE_MARGIN: Duration = Duration::from_secs(10);
 
+const LIMITS_NAME: HeaderName = HeaderName::from_static(LIMITS_HEADER);
+
 type Stream = StreamBody<LocalBoxStream<'static, Result<Frame<Bytes>, Infallible>>>;
 type Body = Either<Full<Bytes>, Stream>;
 
@@ -75,8 +80,14 @@
             }
         };
         let first = job.next().await.map_or_else(Bytes::new, |batch| batch.encode().into());
+        let limits = job.limits_header();
+        let respond = |body| {
+            let mut response = Response::new(body);
+            response.headers_mut().extend(limits.map(|limits| (LIMITS_NAME, limits)));
+            response
+        };
         if job.collector.is_done() {
-            return Response::new(Either::Left(Full::new(first)));
+            return respond(Either::Left(Full::new(first)));
         }
         let rest = unfold((Some(first), job), |(first, mut job)| async move {
             let bytes = match first {
@@ -85,7 +96,7 @@
             };
             Some((Ok(Frame::data(bytes)), (None, job)))
         });
-        Response::new(Either::Right(StreamBody::new(rest.boxed_local())))
+        respond(Either::Right(StreamBody::new(rest.boxed_local())))
     }
 
     /// Decodes a relay request and sends its parts to the upstreams.
@@ -123,9 +134,10 @@
         let mut job = Job::new(now, &self, &relay_request);
         let outgoing = Rc::new(outgoing);
         for (part, id) in relay_request.upstreams.iter().enumerate() {
-            let Some(endpoint) =
-                self.registry.endpoint(id).filter(|endpoint| endpoint.accepts_relayed(now))
-            else {
+            let endpoint = self.registry.endpoint(id);
+            let limit = endpoint.as_ref().and_then(|endpoint| endpoint.rate_limit(now));
+            job.limits.rates.extend(limit.map(|limit| (part as u16, limit)));
+            let Some(endpoint) = endpoint.filter(|endpoint| endpoint.accepts_relayed(now)) else {
                 job.collector.fail(part as u16, End::Unsent);
                 continue;
             };
@@ -143,6 +155,8 @@
     relay: Rc<Relay>,
     attempts: FuturesUnordered<LocalBoxFuture<'static, Finished>>,
     collector: Collector,
+    /// Rate limits of the upstreams that no attempt was sent to for that reason.
+    limits: Limits,
 }
 
 impl Job {
@@ -150,7 +164,17 @@
         relay.in_flight.set(relay.in_flight.get() + 1);
         let collector =
             Collector::new(request.upstreams.len(), request.max_records, now + request.flush);
-        Self { relay: Rc::clone(relay), attempts: FuturesUnordered::new(), collector }
+        Self {
+            relay: Rc::clone(relay),
+            attempts: FuturesUnordered::new(),
+            collector,
+            limits: Limits::default(),
+        }
+    }
+
+    fn limits_header(&self) -> Option<HeaderValue> {
+        let limits = (!self.limits.rates.is_empty()).then(|| self.limits.to_string())?;
+        Some(HeaderValue::try_from(limits).expect("numbers are valid in a header"))
     }
 
     /// Waits for the next batch that is to be sent; returns `None` once all parts have been
--- a/crates/node/src/relay_call.rs
+++ b/crates/node/src/relay_call.rs
@@ -11,7 +11,7 @@
 use hyper::header::HeaderValue;
 use hyper::{Response, StatusCode};
 use pick::{Outcome, Token};
-use relay::{Batch, Decoder, End, REQUEST_HEADER, Request};
+use relay::{Batch, Decoder, End, LIMITS_HEADER, Limits, REQUEST_HEADER, Request};
 
 use crate::attempt::{Attempt, Finished, Outgoing};
 use crate::exchange::Completion;
@@ -43,6 +43,8 @@
     metrics: Arc<Metrics>,
     request: Request,
     parts: Vec<Option<(usize, Attempt)>>,
+    /// Rate limits of upstreams to which the relay has sent nothing for that reason.
+    limits: Limits,
     batches: Option<BatchStream>,
 }
 
@@ -77,6 +79,7 @@
             metrics: Arc::clone(metrics),
             request,
             parts: parts.into_iter().map(Some).collect(),
+            limits: Limits::default(),
             batches: None,
         }
     }
@@ -135,6 +138,7 @@
         if response.status() != StatusCode::OK {
             return Err(rejected(&peer, &response));
         }
+        self.limits = read_limits(&peer, &response);
         let batches =
             BatchStream { pooled, body: response.into_body(), decoder: Decoder::default() };
         self.batches.insert(batches).read().await
@@ -152,13 +156,24 @@
                 End::Unsent => (Completion::Unsent, Duration::ZERO),
                 End::Failed => (Completion::Unknown { cause: "failed at a relay" }, Duration::ZERO),
             };
-            attempt.end(now, time, &completion);
+            match self.limit_of(index) {
+                Some(limit) if matches!(completion, Completion::Unsent) => {
+                    endpoint.record_rate_limit(now, limit);
+                    attempt.discard(now);
+                }
+                _ => attempt.end(now, time, &completion),
+            }
             finished.push(Finished { part, endpoint, completion, time });
         }
         let remaining = self.finish(now);
         Progress { finished, records: batch.records.into(), remaining }
     }
 
+    fn limit_of(&self, index: u16) -> Option<f64> {
+        let limit = self.limits.rates.iter().find(|(limited, _)| *limited == index);
+        limit.map(|(_, limit)| *limit)
+    }
+
     /// Returns the relay request if more of its answer is expected. Otherwise the connection goes
     /// back to the pool, or is closed if the answer did not end as expected.
     fn finish(mut self, now: Instant) -> Option<Self> {
@@ -197,6 +212,16 @@
     Failure::Unsent
 }
 
+/// Returns the rate limits that a relay reports; none if the header is absent or malformed.
+fn read_limits(peer: &Peer, response: &Response<Incoming>) -> Limits {
+    let Some(value) = response.headers().get(LIMITS_HEADER) else { return Limits::default() };
+    let limits = value.to_str().ok().and_then(|text| text.parse().ok());
+    if limits.is_none() {
+        log::warn!(host = peer.name; "relay sent malformed rate limits");
+    }
+    limits.unwrap_or_default()
+}
+
 impl BatchStream {
     /// Reads the next batch; returns `None` at the end of the answer.
     async fn read(&mut self) -> Result<Option<Batch>, Failure> {
--- a/crates/pick/src/lib.rs
+++ b/crates/pick/src/lib.rs
@@ -1,7 +1,8 @@
 //! Choice of the upstream, or of the relay, that gets the next request of `pistachio-node`.
 //!
 //! A [`Replica`] holds what this host has observed of one upstream or relay: requests in flight,
-//! the ratio of its response times to the typical ones, failures, refusals, and whether it is cold.
+//! the ratio of its response times to the typical ones, failures, refusals, whether it is cold, and the rate limit
+//! that it states.
 //! [`choose`] takes the replica with the lowest cost, which is the expected response time with
 //! penalties for failures, stalls and the distance to the replica. Only the outcomes of requests
 //! count; health endpoints, which may lag or be wrong, do not. Reasons are in
@@ -23,10 +24,14 @@
 mod average;
 mod choice;
 mod cold_start;
+mod hosts;
 mod rank;
+mod rate_limit;
 mod replica;
 
 pub use crate::choice::{Candidate, choose};
 pub use crate::cold_start::ColdStart;
+pub use crate::hosts::Hosts;
 pub use crate::rank::ranks_first;
+pub use crate::rate_limit::RateLimit;
 pub use crate::replica::{Outcome, Replica, Token};
--- a/crates/pick/src/rank.rs
+++ b/crates/pick/src/rank.rs
@@ -11,8 +11,13 @@
     host: &str,
     hosts: impl IntoIterator<Item = &'a str>,
 ) -> bool {
+    rank(upstream, host, hosts) == 0
+}
+
+/// Returns the number of `hosts` that rank before `host` for `upstream`.
+pub fn rank<'a>(upstream: &str, host: &str, hosts: impl IntoIterator<Item = &'a str>) -> usize {
     let own = weight(upstream, host);
-    hosts.into_iter().all(|other| other == host || weight(upstream, other) < own)
+    hosts.into_iter().filter(|other| *other != host && weight(upstream, other) > own).count()
 }
 
 fn weight<'a>(upstream: &str, host: &'a str) -> (u64, &'a str) {
--- /dev/null
+++ b/crates/pick/src/rate_limit.rs
@@ -0,0 +1,85 @@
+//! Rate limit that an upstream states in its answers.
+
+use std::time::{Duration, Instant};
+
+/// Time for which unused requests accumulate, so that irregular arrivals can use the whole rate.
+const BURST_TIME: Duration = Duration::from_millis(250);
+
+/// Maximum time between two requests, so that hosts with a tiny part of the limit learn of its end.
+const MAX_SPACING: Duration = Duration::from_secs(600);
+
+/// Minimum time after the last answer that stated the limit for which it stays in force.
+const MIN_TTL: Duration = Duration::from_secs(10);
+
+/// Number of spacings for which the limit stays in force, if that is longer than [`MIN_TTL`].
+const TTL_SPACINGS: u32 = 2;
+
+/// Limit on the requests that this host may send to an upstream that has stated a rate limit.
+///
+/// An upstream states a limit for the requests of all hosts together, of which this host has a
+/// part; see [`Hosts`](crate::Hosts). Requests are spaced by the generic cell rate algorithm, so
+/// that any window of time `t` has at most `rate * (t + 250 ms) + 1` requests.
+#[derive(Clone, Copy, Debug)]
+pub struct RateLimit {
+    limit: f64,
+    spacing: Duration,
+    /// Time at which the next request is due if requests are evenly spaced.
+    due: Instant,
+    stated: Instant,
+}
+
+impl RateLimit {
+    /// Creates the state of a limit that an answer has just stated. `limit` holds for all hosts
+    /// together, `rate` for this host; both are in requests per second.
+    pub fn new(now: Instant, limit: f64, rate: f64) -> Self {
+        let spacing = spacing(rate);
+        Self { limit, spacing, due: now + spacing, stated: now }
+    }
+
+    /// Replaces this host's rate, because the limit or the hosts have changed.
+    pub fn set_rate(&mut self, rate: f64) {
+        self.spacing = spacing(rate);
+    }
+
+    /// Records that another answer has stated the limit `limit`, of which this host has `rate`.
+    pub fn restate(&mut self, now: Instant, limit: f64, rate: f64) {
+        self.limit = limit;
+        self.stated = now;
+        self.set_rate(rate);
+    }
+
+    /// Returns the limit for all hosts together, in requests per second.
+    pub fn limit(&self) -> f64 {
+        self.limit
+    }
+
+    /// Returns whether the limit is in force. It ends if no answer has stated it for so long that
+    /// this host should have sent requests.
+    pub fn is_in_force(&self, now: Instant) -> bool {
+        let ttl = (self.spacing * TTL_SPACINGS).max(MIN_TTL);
+        now.saturating_duration_since(self.stated) < ttl
+    }
+
+    /// Returns whether the answer to a request that was sent at `sent` is newer than the last one
+    /// that stated the limit, so that its silence about the limit ends it.
+    pub fn is_lifted_by(&self, sent: Instant) -> bool {
+        sent >= self.stated
+    }
+
+    /// Returns the earliest time, not before `now`, at which a request may be sent.
+    pub fn available_at(&self, now: Instant) -> Instant {
+        if !self.is_in_force(now) {
+            return now;
+        }
+        self.due.checked_sub(BURST_TIME).map_or(now, |due| due.max(now))
+    }
+
+    /// Records that a request is sent.
+    pub fn sent(&mut self, now: Instant) {
+        self.due = self.due.max(now) + self.spacing;
+    }
+}
+
+fn spacing(rate: f64) -> Duration {
+    Duration::try_from_secs_f64(1.0 / rate).map_or(MAX_SPACING, |spacing| spacing.min(MAX_SPACING))
+}
--- a/crates/pick/src/replica.rs
+++ b/crates/pick/src/replica.rs
@@ -5,6 +5,7 @@
 
 use crate::average::Average;
 use crate::cold_start::ColdStart;
+use crate::rate_limit::RateLimit;
 
 /// Number that identifies a request in flight at one replica.
 pub type Token = u64;
@@ -93,6 +94,7 @@
     /// Consecutive losses.
     losses: u32,
     cold_start: Option<ColdStart>,
+    rate_limit: Option<RateLimit>,
 }
 
 impl Replica {
@@ -108,6 +110,7 @@
             ejection: None,
             losses: 0,
             cold_start: None,
+            rate_limit: None,
         }
     }
 
@@ -121,11 +124,42 @@
         self.cold_start.as_mut()
     }
 
+    /// Records that an answer has stated the rate limit `limit`, of which this host has `rate`. Both
+    /// are in requests per second.
+    pub fn state_rate_limit(&mut self, now: Instant, limit: f64, rate: f64) {
+        match self.rate_limit.as_mut().filter(|rate_limit| rate_limit.is_in_force(now)) {
+            Some(rate_limit) => rate_limit.restate(now, limit, rate),
+            None => self.rate_limit = Some(RateLimit::new(now, limit, rate)),
+        }
+    }
+
+    /// Records that the answer to a request that was sent at `sent` has stated no rate limit.
+    pub fn lift_rate_limit(&mut self, sent: Instant) {
+        self.rate_limit = self.rate_limit.filter(|rate_limit| !rate_limit.is_lifted_by(sent));
+    }
+
+    /// Replaces this host's part of the rate limit, if there is one, because the hosts have
+    /// changed.
+    pub fn set_rate(&mut self, rate: f64) {
+        if let Some(rate_limit) = &mut self.rate_limit {
+            rate_limit.set_rate(rate);
+        }
+    }
+
+    /// Returns the rate limit for all hosts together, in requests per second, if one is in force.
+    pub fn rate_limit(&self, now: Instant) -> Option<f64> {
+        let rate_limit = self.rate_limit.filter(|rate_limit| rate_limit.is_in_force(now));
+        rate_limit.map(|rate_limit| rate_limit.limit())
+    }
+
     /// Records that a request is sent, and returns the token with which its end is recorded.
     pub fn begin(&mut self, now: Instant) -> Token {
         if let Some(cold_start) = &mut self.cold_start {
             cold_start.sent(now);
         }
+        if let Some(rate_limit) = &mut self.rate_limit {
+            rate_limit.sent(now);
+        }
         if let Some((until, length)) = &mut self.ejection {
             // This request is a probe: others avoid the upstream until the outcome is known.
             *until = now + *length;
@@ -173,10 +207,11 @@
         self.others.add(now, others, 0.5);
     }
 
-    /// Returns whether the limit of a cold start allows a request now. An upstream that is ejected
-    /// or considered gone is usable, too.
+    /// Returns whether the limit of a cold start and a stated rate limit allow a request now. An
+    /// upstream that is ejected or considered gone is usable, too.
     pub fn is_usable(&self, now: Instant) -> bool {
         self.cold_start.is_none_or(|cold_start| cold_start.allows(now))
+            && self.rate_limit.is_none_or(|rate_limit| rate_limit.available_at(now) <= now)
     }
 
     /// Returns whether the upstream is in its cold start and may get only few requests.
@@ -185,15 +220,18 @@
     }
 
     /// Returns the earliest time at which the upstream should get a request: when the limit of a
-    /// cold start allows one and, if the upstream is considered gone, when a probe is due.
+    /// cold start and a stated rate limit allow one and, if the upstream is considered gone, when a
+    /// probe is due.
     pub fn available_at(&self, now: Instant) -> Instant {
         let cold_start = self.cold_start.map_or(now, |cold_start| cold_start.available_at(now));
+        let rate_limit = self.rate_limit.map_or(now, |rate_limit| rate_limit.available_at(now));
+        let allowed = cold_start.max(rate_limit);
         match self.ejection {
             Some((until, length)) if self.losses >= MIN_GONE_LOSSES => {
                 let ejected_at = until.checked_sub(length).unwrap_or(until);
-                cold_start.max(ejected_at + PROBE_DELAY)
+                allowed.max(ejected_at + PROBE_DELAY)
             }
-            _ => cold_start,
+            _ => allowed,
         }
     }
 
--- a/crates/relay/src/batch.rs
+++ b/crates/relay/src/batch.rs
@@ -24,7 +24,8 @@
         /// Whether another upstream has taken over the address.
         replaced: bool,
     },
-    /// The relay sent nothing to the upstream.
+    /// The relay sent nothing to the upstream. If it has stated a rate limit, it is among the
+    /// [`Limits`](crate::Limits) of the response.
     Unsent,
     /// The attempt ended without a usable answer; the request may have run.
     Failed,
--- a/crates/relay/src/error.rs
+++ b/crates/relay/src/error.rs
@@ -1,4 +1,4 @@
-//! Errors of decoding relay requests and batches.
+//! Errors of decoding relay requests and responses.
 
 use std::fmt;
 
@@ -13,18 +13,21 @@
         Request(field: &'static str) {
             display("relay request: field {} is missing or malformed", field)
         }
+        Limits {
+            display("relay response: malformed rate limits")
+        }
         Batch(cause: postcard::Error) {
             display("batch of parts cannot be decoded: {}", cause)
         }
     }
 }
 
-/// Why a relay request or a batch could not be decoded.
+/// Why a relay request or a part of its response could not be decoded.
 #[derive(Debug)]
 pub struct Error(Code);
 
 impl Error {
-    /// Returns whether a request could not be decoded, rather than a batch.
+    /// Returns whether a request could not be decoded, rather than a response.
     pub fn is_request(&self) -> bool {
         matches!(self.0, Code::Request(_))
     }
--- a/crates/relay/tests/relay.rs
+++ b/crates/relay/tests/relay.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use relay::{Batch, Collector, Decoder, End, Request, plan};
+use relay::{Batch, Collector, Decoder, End, Limits, Request, plan};
 
 fn answered(stamp: &str) -> End {
     End::Answered { stamp: stamp.into(), load: Some((1, 0)), time: Duration::from_millis(7) }
@@ -111,3 +111,18 @@
     let sizes: Vec<_> = requests.iter().map(|(_, parts)| parts.len()).collect();
     assert_eq!(sizes, [20, 20, 20]);
 }
+
+#[test]
+fn rate_limits_round_trip_through_their_text() {
+    let limits = Limits { rates: vec![(0, 23.8), (7, 0.0)] };
+    assert_eq!(limits.to_string(), "0=23.8,7=0");
+    assert_eq!(limits.to_string().parse::<Limits>().expect("own text"), limits);
+}
+
+#[test]
+fn malformed_rate_limits_are_rejected() {
+    for text in ["", "1", "1=", "x=2", "1=-2", "1=inf", "1=NaN", "1=2,", "70000=1"] {
+        let error = text.parse::<Limits>().expect_err(text);
+        assert!(!error.is_request(), "{text}");
+    }
+}
