Keep the rate limit of an upstream while it is out of the view

Cause: the endpoint and its statistics were dropped with the upstream's place in the view; the logs show each host learning of the limit a second time at 13 s, with no restart. A limit also expired after 10 s, so that a longer absence would have had the same effect. Now statistics of an upstream stay for 60 s, without connections, and a limit holds until an answer without one.

The test failed before ('the limit was forgotten') and passes now.

--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -175,7 +175,7 @@
     metrics: Arc<Metrics>,
 ) -> Finished {
     let endpoint = Rc::clone(attempt.endpoint());
-    if endpoint.count_limited_request(sent) {
+    if endpoint.count_limited_request() {
         metrics.limited_attempts.get_or_create(&origin).inc();
     }
     let remaining = outgoing.remaining(sent);
--- a/crates/node/src/endpoint.rs
+++ b/crates/node/src/endpoint.rs
@@ -64,9 +64,9 @@
             Some(limit) => self.record_rate_limit(now, limit),
             None if answer.refused => {}
             None => {
-                let before = self.rate_limit(now);
+                let before = self.rate_limit();
                 self.replica.borrow_mut().lift_rate_limit(sent);
-                self.log_rate_limit_change(now, before);
+                self.log_rate_limit_change(before);
             }
         }
     }
@@ -74,35 +74,35 @@
     /// Records that the upstream has stated a rate limit, in requests per second for all hosts
     /// together.
     pub fn record_rate_limit(&self, now: Instant, limit: f64) {
-        let before = self.rate_limit(now);
+        let before = self.rate_limit();
         let rate = self.hosts.borrow().rate(&self.upstream.id, limit);
         self.replica.borrow_mut().state_rate_limit(now, limit, rate);
-        self.log_rate_limit_change(now, before);
+        self.log_rate_limit_change(before);
     }
 
     /// Applies a change of the hosts among which the rate limit is divided.
-    pub fn update_rate(&self, now: Instant) {
-        if let Some(limit) = self.rate_limit(now) {
+    pub fn update_rate(&self) {
+        if let Some(limit) = self.rate_limit() {
             let rate = self.hosts.borrow().rate(&self.upstream.id, limit);
             self.replica.borrow_mut().set_rate(rate);
         }
     }
 
-    /// Returns the rate limit of the upstream in requests per second for all hosts together, if one
-    /// is in force.
-    pub fn rate_limit(&self, now: Instant) -> Option<f64> {
-        self.replica.borrow().rate_limit(now)
+    /// Returns the rate limit of the upstream in requests per second for all hosts together, if it
+    /// has stated one.
+    pub fn rate_limit(&self) -> Option<f64> {
+        self.replica.borrow().rate_limit()
     }
 
-    /// Counts a request; returns whether a rate limit of the upstream is in force.
-    pub fn count_limited_request(&self, now: Instant) -> bool {
-        let limited = self.rate_limit(now).is_some();
+    /// Counts a request; returns whether the upstream has stated a rate limit.
+    pub fn count_limited_request(&self) -> bool {
+        let limited = self.rate_limit().is_some();
         self.limited_requests.set(self.limited_requests.get() + u32::from(limited));
         limited
     }
 
-    fn log_rate_limit_change(&self, now: Instant, before: Option<f64>) {
-        let rate_limit = self.rate_limit(now);
+    fn log_rate_limit_change(&self, before: Option<f64>) {
+        let rate_limit = self.rate_limit();
         if before == rate_limit {
             return;
         }
@@ -116,13 +116,9 @@
         );
     }
 
-    /// Returns whether this host may send to the upstream on behalf of another host. A host sends
-    /// to an upstream with a rate limit itself, because each has its own part of the limit.
+    /// Returns whether this host may send to the upstream on behalf of another host.
     pub fn accepts_relayed(&self, now: Instant) -> bool {
-        self.has_room()
-            && !self.is_cold(now)
-            && self.rate_limit(now).is_none()
-            && !self.replica.borrow().is_ejected(now)
+        self.has_room() && self.replica.borrow().accepts_relayed(now)
     }
 
     /// Returns whether a request can be sent now: the address still belongs to the upstream, and a
--- a/crates/node/src/fanout.rs
+++ b/crates/node/src/fanout.rs
@@ -212,7 +212,7 @@
     ) -> Option<&'a str> {
         let domain = &*endpoint.upstream.domain;
         let relayable =
-            endpoint.remote && !endpoint.is_cold(now) && endpoint.rate_limit(now).is_none();
+            endpoint.remote && !endpoint.is_cold(now) && endpoint.rate_limit().is_none();
         (relayable && self.registry.has_relay(now, flush_timeout, domain)).then_some(domain)
     }
 
--- a/crates/node/src/pool.rs
+++ b/crates/node/src/pool.rs
@@ -67,6 +67,13 @@
         PooledConnection { pool: Rc::clone(self), connection }
     }
 
+    /// Closes all idle connections, and the others as soon as they are returned, until the next call
+    /// of [`set_max`](Self::set_max).
+    pub fn close(&self) {
+        self.max.set(0);
+        self.clear();
+    }
+
     /// Closes all idle connections.
     pub fn clear(&self) {
         let idle = std::mem::take(&mut *self.idle.borrow_mut());
@@ -101,9 +108,13 @@
         self.connection.as_mut().expect("the connection is open")
     }
 
-    /// Returns the connection to the pool if it can carry another request. `idle_timeout` is the
+    /// Returns the connection to the pool if it can carry another request and the pool is not
+    /// closed. `idle_timeout` is the
     /// time after which the peer closes an idle connection, if known.
     pub fn checkin(mut self, now: Instant, idle_timeout: Option<Duration>) {
+        if self.pool.max.get() == 0 {
+            return;
+        }
         if let Some(connection) = self.connection.take_if(Connection::is_usable) {
             let expires =
                 now + idle_timeout.unwrap_or(DEFAULT_IDLE_TIMEOUT).saturating_sub(IDLE_MARGIN);
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -36,6 +36,10 @@
 /// Time for which a host is expected to keep its connections after it is no longer advertised.
 const ADVERTISED_TTL: Duration = Duration::from_secs(20);
 
+/// Time for which the statistics and the rate limit of an upstream are kept after it has left the
+/// view. It may return when its failure domain or its entry in the store does.
+const DEPARTED_TTL: Duration = Duration::from_secs(60);
+
 /// Fraction of a cold upstream's rate limit that one host uses, because two hosts may each consider
 /// themselves first in the ranking.
 const COLD_RATE_RATIO: f64 = 0.4;
@@ -57,6 +61,8 @@
 struct State {
     view: Arc<View>,
     endpoints: BTreeMap<UpstreamId, Rc<Endpoint>>,
+    /// Upstreams that have left the view, and when.
+    departed: BTreeMap<UpstreamId, (Instant, Rc<Endpoint>)>,
     services: BTreeMap<ServiceName, Rc<[Rc<Endpoint>]>>,
     budgets: BTreeMap<ServiceName, WindowBudget>,
     latencies: BTreeMap<Box<str>, Rc<RefCell<Latency>>>,
@@ -102,6 +108,21 @@
 }
 
 impl State {
+    /// Keeps those of the previous upstreams that have left the view, without connections, and
+    /// drops those that have returned or have been gone for [`DEPARTED_TTL`].
+    fn keep_departed(&mut self, now: Instant, previous: BTreeMap<UpstreamId, Rc<Endpoint>>) {
+        for (id, endpoint) in previous {
+            if !self.endpoints.contains_key(&id) {
+                endpoint.connections.close();
+                self.departed.insert(id, (now, endpoint));
+            }
+        }
+        let endpoints = &self.endpoints;
+        self.departed.retain(|id, (since, _)| {
+            !endpoints.contains_key(id) && now.saturating_duration_since(*since) < DEPARTED_TTL
+        });
+    }
+
     /// Returns the recent maximum of the number of advertised hosts. A host that is not advertised
     /// for a moment still has its connections.
     fn recent_advertised(&mut self, now: Instant, current: usize) -> usize {
@@ -119,6 +140,7 @@
         let state = State {
             view: Arc::default(),
             endpoints: BTreeMap::new(),
+            departed: BTreeMap::new(),
             services: BTreeMap::new(),
             budgets: BTreeMap::new(),
             latencies: BTreeMap::new(),
@@ -158,11 +180,12 @@
                 let known = state.endpoints.get(&upstream.id);
                 let known = known.filter(|endpoint| Arc::ptr_eq(&endpoint.upstream, upstream));
                 let endpoint = known.cloned().unwrap_or_else(|| {
-                    let previous = state.endpoints.get(&upstream.id);
+                    let departed = state.departed.get(&upstream.id).map(|(_, endpoint)| endpoint);
+                    let previous = state.endpoints.get(&upstream.id).or(departed);
                     Rc::new(self.create_endpoint(now, &view, upstream, &state.hosts, previous))
                 });
                 endpoint.connections.set_max(max);
-                endpoint.update_rate(now);
+                endpoint.update_rate();
                 if let Some(cold) = endpoint.replica.borrow_mut().cold_start_mut() {
                     cold.set_spacing(self.cold_spacing(&view, upstream));
                 }
@@ -173,7 +196,8 @@
                 services.entry(name.clone()).or_default().push(endpoint);
             }
         }
-        state.endpoints = endpoints;
+        let previous = std::mem::replace(&mut state.endpoints, endpoints);
+        state.keep_departed(now, previous);
         state.relays.update(&view, &self.settings.domain);
         let shared = |(name, endpoints): (_, Vec<_>)| (name, Rc::from(endpoints));
         state.services = services.into_iter().map(shared).collect();
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -135,13 +135,14 @@
         let outgoing = Rc::new(outgoing);
         for (part, id) in relay_request.upstreams.iter().enumerate() {
             let endpoint = self.registry.endpoint(id);
-            let limit = endpoint.as_ref().and_then(|endpoint| endpoint.rate_limit(now));
-            job.limits.rates.extend(limit.map(|limit| (part as u16, limit)));
-            let Some(endpoint) = endpoint.filter(|endpoint| endpoint.accepts_relayed(now)) else {
+            let accepted = endpoint.as_ref().filter(|endpoint| endpoint.accepts_relayed(now));
+            let Some(endpoint) = accepted else {
+                let limit = endpoint.and_then(|endpoint| endpoint.rate_limit());
+                job.limits.rates.extend(limit.map(|limit| (part as u16, limit)));
                 job.collector.fail(part as u16, End::Unsent);
                 continue;
             };
-            let attempt = Attempt::begin(now, &endpoint, &latency, &self.metrics);
+            let attempt = Attempt::begin(now, endpoint, &latency, &self.metrics);
             let (outgoing, metrics) = (Rc::clone(&outgoing), Arc::clone(&self.metrics));
             let finished = send(now, part, Origin::RELAY, attempt, outgoing, metrics);
             job.attempts.push(Box::pin(finished));
--- a/crates/node/tests/rate_limit.rs
+++ b/crates/node/tests/rate_limit.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use support::{Node, World};
+use support::{Node, World, until};
 
 /// Rate limit that the upstream states, in requests per second.
 const RATE_LIMIT: f64 = 10.0;
@@ -61,3 +61,44 @@
     let arrivals = limited.arrivals() - before;
     assert!(arrivals <= MAX_ARRIVALS, "{arrivals} arrivals, {MAX_ARRIVALS} allowed");
 }
+
+/// Returns the number of attempts at upstreams with a rate limit, whatever their origin.
+async fn limited_attempts(node: &Node) -> u64 {
+    let text = node.metrics().await;
+    let lines = text.lines().filter(|line| line.contains("limited_attempts_total{"));
+    lines.filter_map(|line| line.rsplit(' ').next()?.parse::<u64>().ok()).sum()
+}
+
+/// Guards against a burst of requests after an upstream was out of the view for a moment, because
+/// its failure domain was evacuated or its entry was lost: hosts must still know its rate limit.
+#[tokio::test(flavor = "multi_thread")]
+async fn rate_limit_is_remembered_while_a_domain_is_evacuated() {
+    let world = World::start().await;
+    let node = Node::ready("a", &world).await;
+    let limited = &world.shards["shard-0@perth-1"];
+    limited.set_rate_limit(Some(100.0));
+    until("the host knows of the limit", || async {
+        node.get("/all/x", "known").await;
+        limited_attempts(&node).await > 0
+    })
+    .await;
+    world.kv.put("op/evacuate/perth-1", b"{}");
+    // Unlike the limited upstream, the others of the domain get a request of each query.
+    let others = || world.arrivals("shard-1@perth-1") + world.arrivals("shard-2@perth-1");
+    until("the domain gets no requests", || async {
+        let before = others();
+        node.get("/all/x", "out").await;
+        others() == before
+    })
+    .await;
+    // The first answer after the return ends the limit, so only its request counts.
+    limited.set_rate_limit(None);
+    let (known, arrivals) = (limited_attempts(&node).await, limited.arrivals());
+    world.kv.remove("op/evacuate/perth-1");
+    until("the domain gets requests again", || async {
+        node.get("/all/x", "back").await;
+        limited.arrivals() > arrivals
+    })
+    .await;
+    assert!(limited_attempts(&node).await > known, "the limit was forgotten");
+}
--- a/crates/pick/src/rate_limit.rs
+++ b/crates/pick/src/rate_limit.rs
@@ -8,17 +8,17 @@
 /// Maximum time between two requests, so that hosts with a tiny part of the limit learn of its end.
 const MAX_SPACING: Duration = Duration::from_secs(600);
 
-/// Minimum time after the last answer that stated the limit for which it stays in force.
-const MIN_TTL: Duration = Duration::from_secs(10);
-
-/// Number of spacings for which the limit stays in force, if that is longer than [`MIN_TTL`].
-const TTL_SPACINGS: u32 = 2;
+/// Time after the last answer that stated the limit from which other hosts are no longer told about
+/// it, since it may have ended.
+const FRESH_TIME: Duration = Duration::from_secs(10);
 
 /// Limit on the requests that this host may send to an upstream that has stated a rate limit.
 ///
 /// An upstream states a limit for the requests of all hosts together, of which this host has a
 /// part; see [`Hosts`](crate::Hosts). Requests are spaced by the generic cell rate algorithm, so
-/// that any window of time `t` has at most `rate * (t + 250 ms) + 1` requests.
+/// that any window of time `t` has at most `rate * (t + 250 ms) + 1` requests. The limit holds until
+/// an answer without one, however long this host sends nothing: the first request after a pause
+/// then shows whether the limit still exists.
 #[derive(Clone, Copy, Debug)]
 pub struct RateLimit {
     limit: f64,
@@ -53,11 +53,10 @@
         self.limit
     }
 
-    /// Returns whether the limit is in force. It ends if no answer has stated it for so long that
-    /// this host should have sent requests.
-    pub fn is_in_force(&self, now: Instant) -> bool {
-        let ttl = (self.spacing * TTL_SPACINGS).max(MIN_TTL);
-        now.saturating_duration_since(self.stated) < ttl
+    /// Returns whether an answer has stated the limit so recently that it is worth telling other
+    /// hosts.
+    pub fn is_fresh(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.stated) < FRESH_TIME
     }
 
     /// Returns whether the answer to a request that was sent at `sent` is newer than the last one
@@ -68,9 +67,6 @@
 
     /// Returns the earliest time, not before `now`, at which a request may be sent.
     pub fn available_at(&self, now: Instant) -> Instant {
-        if !self.is_in_force(now) {
-            return now;
-        }
         self.due.checked_sub(BURST_TIME).map_or(now, |due| due.max(now))
     }
 
--- a/crates/pick/src/replica.rs
+++ b/crates/pick/src/replica.rs
@@ -127,7 +127,7 @@
     /// Records that an answer has stated the rate limit `limit`, of which this host has `rate`. Both
     /// are in requests per second.
     pub fn state_rate_limit(&mut self, now: Instant, limit: f64, rate: f64) {
-        match self.rate_limit.as_mut().filter(|rate_limit| rate_limit.is_in_force(now)) {
+        match &mut self.rate_limit {
             Some(rate_limit) => rate_limit.restate(now, limit, rate),
             None => self.rate_limit = Some(RateLimit::new(now, limit, rate)),
         }
@@ -146,10 +146,18 @@
         }
     }
 
-    /// Returns the rate limit for all hosts together, in requests per second, if one is in force.
-    pub fn rate_limit(&self, now: Instant) -> Option<f64> {
-        let rate_limit = self.rate_limit.filter(|rate_limit| rate_limit.is_in_force(now));
-        rate_limit.map(|rate_limit| rate_limit.limit())
+    /// Returns the rate limit for all hosts together, in requests per second, if the upstream has
+    /// stated one.
+    pub fn rate_limit(&self) -> Option<f64> {
+        self.rate_limit.map(|rate_limit| rate_limit.limit())
+    }
+
+    /// Returns whether this host may send a request on behalf of another host. If the upstream has
+    /// stated a rate limit, each host sends its own requests within its own part, unless the limit
+    /// may have ended.
+    pub fn accepts_relayed(&self, now: Instant) -> bool {
+        let is_limited = self.rate_limit.is_some_and(|rate_limit| rate_limit.is_fresh(now));
+        !is_limited && self.is_usable(now) && !self.is_cold(now) && !self.is_ejected(now)
     }
 
     /// Records that a request is sent, and returns the token with which its end is recorded.
