Remember that an earlier attempt at an upstream may have run

A request of which one attempt at an upstream ended without proof, and whose retry at the same upstream was refused or not sent, counted as not run, so that callers could be answered 503 'not run' for work that had run. The refusal made Attempts forget the upstream altogether. It now keeps those with an earlier unknown end, and they still count towards the maximum number of upstreams.

The test failed before (is_not_run was true after Refused and after Unsent) and passes now.

--- a/crates/hedge/src/attempts.rs
+++ b/crates/hedge/src/attempts.rs
@@ -19,6 +19,14 @@
     Unknown,
 }
 
+/// An upstream that may have run the request.
+#[derive(Clone, Debug)]
+struct Reached {
+    upstream: Box<str>,
+    /// Whether an earlier attempt there ended without proof that it has not run.
+    unknown: bool,
+}
+
 /// The attempts of one request.
 #[derive(Clone, Debug)]
 pub struct Attempts {
@@ -32,7 +40,7 @@
     refusals: u32,
     unsent: u32,
     /// Upstreams that may have run the request.
-    reached: Vec<Box<str>>,
+    reached: Vec<Reached>,
 }
 
 impl Attempts {
@@ -55,7 +63,7 @@
         if !self.idempotent {
             return self.reached.is_empty();
         }
-        let known = self.reached.iter().any(|reached| **reached == *upstream);
+        let known = self.reached.iter().any(|reached| *reached.upstream == *upstream);
         known || (self.reached.len() as u32) < self.max
     }
 
@@ -74,8 +82,8 @@
     pub fn sent(&mut self, upstream: &str) {
         self.running += 1;
         self.arrivals += 1;
-        if !self.reached.iter().any(|reached| **reached == *upstream) {
-            self.reached.push(upstream.into());
+        if !self.reached.iter().any(|reached| *reached.upstream == *upstream) {
+            self.reached.push(Reached { upstream: upstream.into(), unknown: false });
         }
     }
 
@@ -96,7 +104,13 @@
             }
             // When the attempts at all allowed upstreams have failed, an upstream that has already
             // been tried may be tried again.
-            Failure::Unknown => self.idempotent && self.arrivals < self.max + MAX_REFUSALS,
+            Failure::Unknown => {
+                let reached = self.reached.iter_mut();
+                reached
+                    .filter(|reached| *reached.upstream == *upstream)
+                    .for_each(|reached| reached.unknown = true);
+                self.idempotent && self.arrivals < self.max + MAX_REFUSALS
+            }
         }
     }
 
@@ -110,7 +124,8 @@
         self.reached.is_empty()
     }
 
+    /// Removes an upstream whose latest attempt has not run, unless an earlier one there may have.
     fn forget(&mut self, upstream: &str) {
-        self.reached.retain(|reached| **reached != *upstream);
+        self.reached.retain(|reached| *reached.upstream != *upstream || reached.unknown);
     }
 }
--- a/crates/hedge/tests/extras.rs
+++ b/crates/hedge/tests/extras.rs
@@ -106,6 +106,21 @@
     assert!(attempts.is_not_run());
 }
 
+/// Guards against a false "not run": a retry at the same upstream is refused, or is not sent, after
+/// an attempt there whose answer was lost.
+#[test]
+fn refused_retry_does_not_prove_that_an_earlier_attempt_has_not_run() {
+    for failure in [Failure::Refused, Failure::Unsent] {
+        let mut attempts = Attempts::new(true, 1);
+        attempts.sent("a");
+        assert!(attempts.ended("a", Failure::Unknown));
+        attempts.sent("a");
+        assert!(attempts.ended("a", failure));
+        assert!(!attempts.is_not_run(), "{failure:?}");
+        assert!(!attempts.may_send("b"), "{failure:?}");
+    }
+}
+
 #[test]
 fn retries_after_refusals_are_limited() {
     let mut attempts = Attempts::new(true, 2);
