Bound the memory and the copying of answers that do not end

An upstream in trouble may send bytes without end. Each answer was collected up to 16 MiB with a copy of all of it for every received frame, and nothing bounded the sum: 40 requests at two such upstreams were answered after 4.03 s, at their deadline, and the test process reached 242,640 KiB, where the smallest hosts have 160 MB and a process beyond it is killed. Heads without end were already bounded by the HTTP library.

--- a/crates/node/src/endpoint.rs
+++ b/crates/node/src/endpoint.rs
@@ -9,8 +9,17 @@
 use platform::Answer;
 use table::Upstream;
 
+use crate::buffers::Buffers;
 use crate::pool::Pool;
 
+/// State that all endpoints of a host share.
+pub struct Shared {
+    /// The hosts among which the rate limits of upstreams are divided.
+    pub hosts: RefCell<Hosts>,
+    /// Memory for incomplete answers.
+    pub buffers: Rc<Buffers>,
+}
+
 /// An upstream with its connections and statistics.
 pub struct Endpoint {
     /// The entry that the upstream registered.
@@ -23,19 +32,19 @@
     pub remote: bool,
     /// Whether another process answered at the address. The next entry of the upstream resets this.
     pub replaced: Cell<bool>,
-    /// The hosts among which the rate limit of the upstream is divided.
-    hosts: Rc<RefCell<Hosts>>,
+    /// What the endpoint shares with those of other upstreams.
+    pub shared: Rc<Shared>,
     /// Requests sent since the rate limit of the upstream last changed.
     limited_requests: Cell<u32>,
 }
 
 impl Endpoint {
-    /// Creates an endpoint. Rate limits of the upstream are divided among `hosts`. It shares statistics and connections with `previous`, which is the
+    /// Creates an endpoint. It shares statistics and connections with `previous`, which is the
     /// endpoint of an earlier entry of the same process.
     pub fn new(
         upstream: Arc<Upstream>,
         remote: bool,
-        hosts: &Rc<RefCell<Hosts>>,
+        shared: &Rc<Shared>,
         previous: Option<&Self>,
     ) -> Self {
         let replica = previous.map(|previous| Rc::clone(&previous.replica));
@@ -46,7 +55,7 @@
             upstream,
             remote,
             replaced: Cell::new(false),
-            hosts: Rc::clone(hosts),
+            shared: Rc::clone(shared),
             limited_requests: Cell::new(0),
         }
     }
@@ -75,7 +84,7 @@
     /// together.
     pub fn record_rate_limit(&self, now: Instant, limit: f64) {
         let before = self.rate_limit();
-        let rate = self.hosts.borrow().rate(&self.upstream.id, limit);
+        let rate = self.shared.hosts.borrow().rate(&self.upstream.id, limit);
         self.replica.borrow_mut().state_rate_limit(now, limit, rate);
         self.log_rate_limit_change(before);
     }
@@ -83,7 +92,7 @@
     /// Applies a change of the hosts among which the rate limit is divided.
     pub fn update_rate(&self) {
         if let Some(limit) = self.rate_limit() {
-            let rate = self.hosts.borrow().rate(&self.upstream.id, limit);
+            let rate = self.shared.hosts.borrow().rate(&self.upstream.id, limit);
             self.replica.borrow_mut().set_rate(rate);
         }
     }
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -9,13 +9,11 @@
 use hyper::{Request, Response, StatusCode};
 use platform::Answer;
 
+use crate::buffers::Buffer;
 use crate::endpoint::Endpoint;
 use crate::metrics::Metrics;
 use crate::pool::PooledConnection;
 
-/// Maximum size of an answer that is buffered in memory.
-const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
-
 /// A complete answer of an upstream.
 #[derive(Debug)]
 pub struct Reply {
@@ -111,7 +109,8 @@
     if response.status() != StatusCode::MISDIRECTED_REQUEST {
         endpoint.record_answer(Instant::now(), sent, &answer);
     }
-    let Some(reply) = pooled.connection().drive(collect(response, answer)).await else {
+    let buffer = endpoint.shared.buffers.buffer();
+    let Some(reply) = pooled.connection().drive(collect(response, answer, buffer)).await else {
         return Completion::Unknown { cause: "answer incomplete or too large" };
     };
     if !reply.answer.closes {
@@ -133,18 +132,20 @@
     }
 }
 
-async fn collect(response: Response<Incoming>, answer: Answer) -> Option<Reply> {
+async fn collect(
+    response: Response<Incoming>,
+    answer: Answer,
+    mut buffer: Buffer,
+) -> Option<Reply> {
     let (parts, mut body) = response.into_parts();
-    let mut collected = Bytes::new();
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.ok()?.into_data() else { continue };
-        if collected.len() + data.len() > MAX_BODY_BYTES {
+        if !buffer.push(data) {
             return None;
         }
-        // Most answers arrive in a single frame, which needs no copy.
-        collected = if collected.is_empty() { data } else { [collected, data].concat().into() };
     }
-    Some(Reply { status: parts.status, headers: parts.headers, body: collected, answer })
+    let body = buffer.into_bytes();
+    Some(Reply { status: parts.status, headers: parts.headers, body, answer })
 }
 
 async fn connect(endpoint: &Endpoint, metrics: &Metrics) -> Option<PooledConnection> {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 //! and clocks. See `docs/design/platform.md`.
 
 mod attempt;
+mod buffers;
 mod connection;
 mod control;
 mod directory;
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -15,7 +15,7 @@
 use table::{Domain, Route, ServiceName, Share, Split, Upstream, UpstreamId, View};
 
 use crate::directory;
-use crate::endpoint::Endpoint;
+use crate::endpoint::{Endpoint, Shared};
 use crate::latency::Latency;
 use crate::peer::Peer;
 use crate::relays::Relays;
@@ -69,7 +69,7 @@
     splits: BTreeMap<Box<str>, Split>,
     relays: Relays,
     windows: BTreeMap<Box<str>, Window>,
-    hosts: Rc<RefCell<Hosts>>,
+    shared: Rc<Shared>,
     random: StdRng,
     recent_advertised: Option<(Instant, usize)>,
     /// Fixed number of extra attempts that this host may send to each service per window, whatever
@@ -137,6 +137,7 @@
 impl Registry {
     /// Creates an empty registry; `seed` determines how ties are broken.
     pub fn new(settings: Arc<Settings>, seed: u64) -> Self {
+        let hosts = RefCell::new(Hosts::new(&settings.host));
         let state = State {
             view: Arc::default(),
             endpoints: BTreeMap::new(),
@@ -147,7 +148,7 @@
             splits: BTreeMap::new(),
             relays: Relays::default(),
             windows: BTreeMap::new(),
-            hosts: Rc::new(RefCell::new(Hosts::new(&settings.host))),
+            shared: Rc::new(Shared { hosts, buffers: Rc::default() }),
             random: StdRng::seed_from_u64(seed),
             recent_advertised: None,
             slack: 0.0,
@@ -170,7 +171,7 @@
             count: state.recent_advertised(now, names.len()),
             includes_self: names.contains(&self.settings.host),
         };
-        state.hosts.borrow_mut().update(now, &names, view.hosts.len());
+        state.shared.hosts.borrow_mut().update(now, &names, view.hosts.len());
         let mut services: BTreeMap<ServiceName, Vec<Rc<Endpoint>>> = BTreeMap::new();
         let mut endpoints = BTreeMap::new();
         let mut new = Vec::new();
@@ -182,7 +183,7 @@
                 let endpoint = known.cloned().unwrap_or_else(|| {
                     let departed = state.departed.get(&upstream.id).map(|(_, endpoint)| endpoint);
                     let previous = state.endpoints.get(&upstream.id).or(departed);
-                    Rc::new(self.create_endpoint(now, &view, upstream, &state.hosts, previous))
+                    Rc::new(self.create_endpoint(now, &view, upstream, &state.shared, previous))
                 });
                 endpoint.connections.set_max(max);
                 endpoint.update_rate();
@@ -356,7 +357,7 @@
         now: Instant,
         view: &View,
         upstream: &Arc<Upstream>,
-        hosts: &Rc<RefCell<Hosts>>,
+        shared: &Rc<Shared>,
         previous: Option<&Rc<Endpoint>>,
     ) -> Endpoint {
         let remote = upstream.domain != self.settings.domain;
@@ -365,7 +366,7 @@
                 && previous.upstream.address == upstream.address
         });
         let endpoint =
-            Endpoint::new(Arc::clone(upstream), remote, hosts, same.map(|previous| &**previous));
+            Endpoint::new(Arc::clone(upstream), remote, shared, same.map(|previous| &**previous));
         if !upstream.warmup_left.is_zero() {
             let until = now + upstream.warmup_left;
             let cold = ColdStart::new(until, self.cold_spacing(view, upstream));
--- a/crates/standin/src/shard.rs
+++ b/crates/standin/src/shard.rs
@@ -34,6 +34,10 @@
     Double,
     /// Reads requests and never answers them.
     Silent,
+    /// Sends headers without end until the connection is closed.
+    EndlessHead,
+    /// Sends a body without end until the connection is closed.
+    EndlessBody,
 }
 
 /// A request that ran.
@@ -184,6 +188,13 @@
         if fault == Fault::Silent {
             std::future::pending::<()>().await;
         }
+        let ok = format!("HTTP/1.1 200 OK\r\n{REQUEST_ID}: {id}\r\n{STAMP}: {instance}\r\n");
+        if fault == Fault::EndlessHead {
+            return endless(stream, &ok, "filler: 0123456789abcdef\r\n").await;
+        }
+        if fault == Fault::EndlessBody {
+            return endless(stream, &format!("{ok}\r\n"), "0123456789abcdef").await;
+        }
         let _slot = self.acquire_slot().await;
         let (service_time, rate_limit, records) = {
             let mut state = self.state();
@@ -257,6 +268,15 @@
     stream.write_all(&[head.as_bytes(), body].concat()).await
 }
 
+/// Sends a head and repetitions of `text` until the connection fails.
+async fn endless(stream: &mut TcpStream, head: &str, text: &str) -> Result<bool> {
+    let block = text.repeat(4_096);
+    stream.write_all(head.as_bytes()).await?;
+    loop {
+        stream.write_all(block.as_bytes()).await?;
+    }
+}
+
 /// Reads one request, or returns `None` at the end of the connection.
 ///
 /// Only bodies with a `content-length` are supported, the only kind that the system under test
