Apply a higher part of a rate limit to the next request already

The time left is scaled with the spacing now. A first try that bounded the time left by one spacing let every restated limit free a request; the test busy_hosts_together_stay_within_the_limit caught it.

higher_rate_applies_to_the_next_request fails without the scaling and passes with it.

--- a/crates/node/src/endpoint.rs
+++ b/crates/node/src/endpoint.rs
@@ -90,10 +90,10 @@
     }
 
     /// Applies a change of the hosts among which the rate limit is divided.
-    pub fn update_rate(&self) {
+    pub fn update_rate(&self, now: Instant) {
         if let Some(limit) = self.rate_limit() {
             let rate = self.shared.hosts.borrow().rate(&self.upstream.id, limit);
-            self.replica.borrow_mut().set_rate(rate);
+            self.replica.borrow_mut().set_rate(now, rate);
         }
     }
 
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -186,7 +186,7 @@
                     Rc::new(self.create_endpoint(now, &view, upstream, &state.shared, previous))
                 });
                 endpoint.connections.set_max(max);
-                endpoint.update_rate();
+                endpoint.update_rate(now);
                 if let Some(cold) = endpoint.replica.borrow_mut().cold_start_mut() {
                     cold.set_spacing(self.cold_spacing(&view, upstream));
                 }
--- a/crates/pick/src/rate_limit.rs
+++ b/crates/pick/src/rate_limit.rs
@@ -36,16 +36,22 @@
         Self { limit, spacing, due: now + spacing, stated: now }
     }
 
-    /// Replaces this host's rate, because the limit or the hosts have changed.
-    pub fn set_rate(&mut self, rate: f64) {
-        self.spacing = spacing(rate);
+    /// Replaces this host's rate, because the limit or the hosts have changed. The time until the
+    /// next request changes in the same ratio as the spacing.
+    pub fn set_rate(&mut self, now: Instant, rate: f64) {
+        let spacing = spacing(rate);
+        let ratio = spacing.div_duration_f64(self.spacing);
+        if self.due > now {
+            self.due = now + (self.due - now).mul_f64(ratio);
+        }
+        self.spacing = spacing;
     }
 
     /// Records that another answer has stated the limit `limit`, of which this host has `rate`.
     pub fn restate(&mut self, now: Instant, limit: f64, rate: f64) {
         self.limit = limit;
         self.stated = now;
-        self.set_rate(rate);
+        self.set_rate(now, rate);
     }
 
     /// Returns the limit for all hosts together, in requests per second.
--- a/crates/pick/src/replica.rs
+++ b/crates/pick/src/replica.rs
@@ -140,9 +140,9 @@
 
     /// Replaces this host's part of the rate limit, if there is one, because the hosts have
     /// changed.
-    pub fn set_rate(&mut self, rate: f64) {
+    pub fn set_rate(&mut self, now: Instant, rate: f64) {
         if let Some(rate_limit) = &mut self.rate_limit {
-            rate_limit.set_rate(rate);
+            rate_limit.set_rate(now, rate);
         }
     }
 
--- a/crates/pick/tests/rate_limit.rs
+++ b/crates/pick/tests/rate_limit.rs
@@ -174,3 +174,14 @@
     let sent = saturate(now, 0.0, &rates(now, 0.0, 6, 6));
     assert!((1..=5).contains(&sent.len()), "{}", sent.len());
 }
+
+/// A host learns of a limit before it sees itself in the list of hosts, when its part is tiny.
+#[test]
+fn higher_rate_applies_to_the_next_request() {
+    let now = Instant::now();
+    let mut replica = Replica::new(2);
+    replica.state_rate_limit(now, 2.0, 0.02);
+    assert!(replica.available_at(now) > now + Duration::from_secs(40));
+    replica.set_rate(now + ms(100), 2.0);
+    assert!(replica.available_at(now) <= now + ms(600));
+}
