Refuse requests at once that limited upstreams cannot take in time

Requests that wait for an upstream with a rate limit were not counted: each new one saw that a request would be allowed soon, was admitted, and waited until its deadline together with all others. A shard or service now counts as available only after those that already wait have been sent at the rates of its upstreams.

--- a/crates/node/src/fanout.rs
+++ b/crates/node/src/fanout.rs
@@ -21,7 +21,7 @@
 use crate::exchange::{Completion, Reply};
 use crate::latency::Latency;
 use crate::metrics::{Metrics, Origin};
-use crate::registry::Registry;
+use crate::registry::{Registry, Waiting};
 use crate::relay_call::{Progress, RelayCall};
 
 /// Time for which abandoned attempts may still finish. An attempt that finishes keeps its
@@ -70,6 +70,8 @@
     attempts: Attempts,
     running: Vec<Rc<Endpoint>>,
     refused_by: Vec<Rc<Endpoint>>,
+    /// Set while no upstream accepts the part.
+    waiting: Option<Waiting>,
     /// Time of the next hedge or retry.
     due: Option<Instant>,
     /// Last error answer of an upstream.
@@ -126,6 +128,7 @@
             attempts: Attempts::new(route.idempotent, route.attempts),
             running: Vec::new(),
             refused_by: Vec::new(),
+            waiting: None,
             due: None,
             failure: None,
             first_sent: None,
@@ -360,7 +363,9 @@
         });
         let typical = self.latency.borrow().typical();
         let chosen = self.registry.choose(now, typical, allowed, preferred);
+        part.waiting = None;
         if chosen.is_none() {
+            part.waiting = Some(self.registry.wait(&part.service));
             let mut delay = RETRY_DELAY;
             if part.refused_by.is_empty() {
                 part.obstacle = Some(describe_obstacle(now, &endpoints));
@@ -510,6 +515,7 @@
 
     fn mark_lost(&mut self, index: usize) {
         self.parts[index].done = true;
+        self.parts[index].waiting = None;
         self.spare = self.spare.saturating_sub(1);
     }
 }
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -69,6 +69,7 @@
     splits: BTreeMap<Box<str>, Split>,
     relays: Relays,
     windows: BTreeMap<Box<str>, Window>,
+    waiting: BTreeMap<ServiceName, Rc<()>>,
     shared: Rc<Shared>,
     random: StdRng,
     recent_advertised: Option<(Instant, usize)>,
@@ -77,6 +78,9 @@
     slack: f64,
 }
 
+/// A part that waits for an upstream, for as long as the value exists.
+pub struct Waiting(#[expect(dead_code, reason = "its references are counted")] Rc<()>);
+
 /// Admission of one query; dropping it releases its place in the route's window.
 pub struct Permit<'a> {
     registry: &'a Registry,
@@ -148,6 +152,7 @@
             splits: BTreeMap::new(),
             relays: Relays::default(),
             windows: BTreeMap::new(),
+            waiting: BTreeMap::new(),
             shared: Rc::new(Shared { hosts, buffers: Rc::default() }),
             random: StdRng::seed_from_u64(seed),
             recent_advertised: None,
@@ -202,6 +207,7 @@
         state.relays.update(&view, &self.settings.domain);
         let shared = |(name, endpoints): (_, Vec<_>)| (name, Rc::from(endpoints));
         state.services = services.into_iter().map(shared).collect();
+        state.waiting.retain(|_, waiting| Rc::strong_count(waiting) > 1);
         state.slack = self.slack(&view, &advertised);
         let slack = state.slack;
         state.budgets.values_mut().for_each(|budget| budget.set_slack(slack));
@@ -222,11 +228,27 @@
         self.state.borrow().services.get(service).cloned().unwrap_or_default()
     }
 
-    /// Returns the earliest time at which an upstream of a service may get a request, or `None` if
-    /// the service has no upstreams.
+    /// Returns the earliest time at which an upstream of a service may get another request, or
+    /// `None` if the service has no upstreams. Requests that already wait for upstreams with a rate
+    /// limit come first.
     pub fn available_at(&self, now: Instant, service: &str) -> Option<Instant> {
         let endpoints = self.endpoints(service);
-        endpoints.iter().map(|endpoint| endpoint.replica.borrow().available_at(now)).min()
+        let available =
+            endpoints.iter().map(|endpoint| endpoint.replica.borrow().available_at(now));
+        let rates = endpoints.iter().map(|endpoint| endpoint.replica.borrow().rate());
+        Some(available.min()? + pick::queue_time(rates, self.waiting(service)))
+    }
+
+    /// Counts a part that waits for an upstream of a service until the returned value is dropped.
+    pub fn wait(&self, service: &ServiceName) -> Waiting {
+        let waiting = &mut self.state.borrow_mut().waiting;
+        Waiting(Rc::clone(waiting.entry(service.clone()).or_default()))
+    }
+
+    /// Returns the number of parts that wait for an upstream of a service.
+    fn waiting(&self, service: &str) -> usize {
+        let waiting = &self.state.borrow().waiting;
+        waiting.get(service).map_or(0, |waiting| Rc::strong_count(waiting) - 1)
     }
 
     /// Returns the upstream with the given id if it is part of the view.
--- a/crates/node/tests/rate_limit.rs
+++ b/crates/node/tests/rate_limit.rs
@@ -2,13 +2,16 @@
 
 mod support;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use support::{Node, World, until};
 
 /// Rate limit that the upstream states, in requests per second.
 const RATE_LIMIT: f64 = 10.0;
 
+/// Latency objective of the routes.
+const OBJECTIVE: Duration = Duration::from_secs(2);
+
 /// Time between two queries at one host.
 const QUERY_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -102,3 +105,39 @@
     .await;
     assert!(limited_attempts(&node).await > known, "the limit was forgotten");
 }
+
+/// Guards against requests that wait until their deadline although the limits of all upstreams
+/// cannot let them through: most of them must be refused at once, with a time to come back.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_beyond_the_rate_limits_of_all_upstreams_are_refused_at_once() {
+    let world = World::start().await;
+    let node = Node::ready("a", &world).await;
+    world.of("single").iter().for_each(|shard| shard.set_rate_limit(Some(RATE_LIMIT / 5.0)));
+    until("the host knows of both limits", || async {
+        node.get("/one/x", "known").await;
+        world.of("single").iter().all(|shard| shard.arrivals() > 0)
+    })
+    .await;
+    // A host that is not listed in the store yet has a tiny part of the limits and refuses at once.
+    until("the host has its part of the limits", || async {
+        node.get("/one/x", "listed").await.status() == 200
+    })
+    .await;
+    let calls = (0..40).map(|number| {
+        let call = node.call(reqwest::Method::GET, "/one/x", &format!("l{number}"));
+        tokio::spawn(async move {
+            let started = Instant::now();
+            (call.send().await.expect("an answer"), started.elapsed())
+        })
+    });
+    let mut refused = 0;
+    for call in calls.collect::<Vec<_>>() {
+        let (answer, time) = call.await.expect("the task ends");
+        if answer.status() == 503 {
+            assert!(time < OBJECTIVE, "refused after {time:?}");
+            assert!(answer.headers().contains_key("retry-after"));
+            refused += 1;
+        }
+    }
+    assert!(refused >= 20, "{refused} of 40 requests were refused");
+}
--- a/crates/pick/src/rate_limit.rs
+++ b/crates/pick/src/rate_limit.rs
@@ -22,6 +22,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct RateLimit {
     limit: f64,
+    rate: f64,
     spacing: Duration,
     /// Time at which the next request is due if requests are evenly spaced.
     due: Instant,
@@ -33,7 +34,7 @@
     /// together, `rate` for this host; both are in requests per second.
     pub fn new(now: Instant, limit: f64, rate: f64) -> Self {
         let spacing = spacing(rate);
-        Self { limit, spacing, due: now + spacing, stated: now }
+        Self { limit, rate, spacing, due: now + spacing, stated: now }
     }
 
     /// Replaces this host's rate, because the limit or the hosts have changed. The time until the
@@ -44,7 +45,7 @@
         if self.due > now {
             self.due = now + (self.due - now).mul_f64(ratio);
         }
-        self.spacing = spacing;
+        (self.rate, self.spacing) = (rate, spacing);
     }
 
     /// Records that another answer has stated the limit `limit`, of which this host has `rate`.
@@ -59,6 +60,11 @@
         self.limit
     }
 
+    /// Returns this host's rate, in requests per second.
+    pub fn rate(&self) -> f64 {
+        self.rate
+    }
+
     /// Returns whether an answer has stated the limit so recently that it is worth telling other
     /// hosts.
     pub fn is_fresh(&self, now: Instant) -> bool {
@@ -82,6 +88,17 @@
     }
 }
 
+/// Returns the time until `waiting` requests have been sent to upstreams with the given rates of
+/// this host, in requests per second. An upstream without a rate limit takes all of them at once.
+pub fn queue_time(rates: impl IntoIterator<Item = Option<f64>>, waiting: usize) -> Duration {
+    match rates.into_iter().sum::<Option<f64>>() {
+        Some(rate) if waiting > 0 => {
+            Duration::try_from_secs_f64(waiting as f64 / rate).unwrap_or(MAX_SPACING)
+        }
+        _ => Duration::ZERO,
+    }
+}
+
 fn spacing(rate: f64) -> Duration {
     Duration::try_from_secs_f64(1.0 / rate).map_or(MAX_SPACING, |spacing| spacing.min(MAX_SPACING))
 }
--- a/crates/pick/src/replica.rs
+++ b/crates/pick/src/replica.rs
@@ -152,6 +152,12 @@
         self.rate_limit.map(|rate_limit| rate_limit.limit())
     }
 
+    /// Returns this host's part of the rate limit, in requests per second, if the upstream has stated
+    /// one.
+    pub fn rate(&self) -> Option<f64> {
+        self.rate_limit.map(|rate_limit| rate_limit.rate())
+    }
+
     /// Returns whether this host may send a request on behalf of another host. If the upstream has
     /// stated a rate limit, each host sends its own requests within its own part, unless the limit
     /// may have ended.
--- a/crates/pick/tests/rate_limit.rs
+++ b/crates/pick/tests/rate_limit.rs
@@ -3,7 +3,7 @@
 
 use std::time::{Duration, Instant};
 
-use pick::{Hosts, RateLimit, Replica};
+use pick::{Hosts, RateLimit, Replica, queue_time};
 
 const UPSTREAM: &str = "i-1";
 
@@ -175,6 +175,16 @@
     assert!((1..=5).contains(&sent.len()), "{}", sent.len());
 }
 
+/// Pattern: all upstreams of a service state limits far below the demand. Requests that would wait
+/// for longer than their objective can be refused at once.
+#[test]
+fn queue_grows_with_the_requests_that_wait_for_limited_upstreams() {
+    assert_eq!(queue_time([Some(1.5), Some(0.5)], 4), Duration::from_secs(2));
+    assert_eq!(queue_time([Some(1.5), Some(0.5)], 0), Duration::ZERO);
+    assert_eq!(queue_time([Some(1.5), None], 4), Duration::ZERO);
+    assert!(queue_time([], 4) > Duration::from_secs(60));
+}
+
 /// A host learns of a limit before it sees itself in the list of hosts, when its part is tiny.
 #[test]
 fn higher_rate_applies_to_the_next_request() {
