Check stated rate limits in the soak

In the changes without faults at the end of a run, an upstream states a limit of 5 a second while another one drains and a failure domain is out and returns; its requests in any 4 s are counted.

--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -22,6 +22,8 @@
     ConfigLate,
     /// An upstream that was draining or in an evacuated failure domain still got requests.
     LateWork,
+    /// An upstream got more requests than the rate limit that it stated allows.
+    RateLimitExceeded,
     /// A host that was shutting down gracefully cut an answer off.
     CutAnswer,
     /// A host did not serve requests again after all faults had ended.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -32,6 +32,19 @@
 /// Time after the last fault within which every host must serve requests again.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(12);
 
+/// Rate limit that an upstream states, in requests per second.
+const RATE_LIMIT: f64 = 5.0;
+
+/// Time that hosts have to apply a rate limit.
+const RATE_LIMIT_REACTION: Duration = Duration::from_millis(500);
+
+/// Time for which a rate limit is observed. It is longer than drains and evacuations, so that it
+/// includes the return of the upstream.
+const RATE_LIMIT_DURATION: Duration = Duration::from_secs(8);
+
+/// Time in which the requests to an upstream with a rate limit are counted.
+const RATE_LIMIT_WINDOW: Duration = Duration::from_secs(4);
+
 /// Parameters of a run.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -159,11 +172,12 @@
     }
 
     /// Waits until the time limits are checked on all hosts, which is rarely the case while faults
-    /// overlap, and then writes a configuration, drains an upstream and evacuates a failure domain.
+    /// overlap, and then writes a configuration, drains an upstream and evacuates a failure domain,
+    /// while another upstream states a rate limit.
     async fn change_undisturbed(&self, target: usize) {
         tokio::time::sleep(UNDISTURBED_WINDOW + SCHEDULING_SLACK).await;
         lock(&self.environment).configure();
-        tokio::join!(self.drain(target), self.evacuate(target + 1));
+        tokio::join!(self.drain(target), self.evacuate(target + 1), self.limit_rate(target + 2));
     }
 
     fn next_id(&self) -> String {
@@ -421,15 +435,46 @@
         let before = self.arrivals(ids);
         tokio::time::sleep(Duration::from_secs(1)).await;
         let after = self.arrivals(ids);
-        let disturbed = lock(&self.hosts).iter().map(|host| host.last_disturbed).max();
-        let disturbed = disturbed.max(Some(*lock(&self.store_disturbed)));
-        let undisturbed = disturbed.is_some_and(|at| at + UNDISTURBED_WINDOW < written);
-        if undisturbed && after != before {
+        if self.was_undisturbed(written) && after != before {
             let detail = format!("{} requests to {ids:?}, which are {state}", after - before);
             lock(&self.report).add_violation(Violation::LateWork, detail);
         }
     }
 
+    /// Makes an upstream state a rate limit, and reports a violation if it gets more requests than
+    /// that allows. The check is skipped like that of [`expect_no_requests`].
+    ///
+    /// [`expect_no_requests`]: Self::expect_no_requests
+    async fn limit_rate(&self, target: usize) {
+        let shard = lock(&self.environment).upstream(target).shard.clone();
+        let stated = Instant::now();
+        shard.set_rate_limit(Some(RATE_LIMIT));
+        tokio::time::sleep(RATE_LIMIT_REACTION + SCHEDULING_SLACK).await;
+        let mut samples = vec![(Instant::now(), shard.arrivals())];
+        while stated.elapsed() < RATE_LIMIT_DURATION {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            samples.push((Instant::now(), shard.arrivals()));
+        }
+        shard.set_rate_limit(None);
+        let max = (RATE_LIMIT * 1.5 * RATE_LIMIT_WINDOW.as_secs_f64()) as usize + 5;
+        let busiest = samples.iter().map(|(start, before)| {
+            let mut window = samples.iter().filter(|(at, _)| *at < *start + RATE_LIMIT_WINDOW);
+            window.next_back().map_or(0, |(_, after)| after.saturating_sub(*before))
+        });
+        let busiest = busiest.max().unwrap_or(0);
+        if self.was_undisturbed(stated) && busiest > max {
+            let detail = format!("{busiest} requests in 4 s, {max} allowed");
+            lock(&self.report).add_violation(Violation::RateLimitExceeded, detail);
+        }
+    }
+
+    /// Returns whether no host and not the store has been disturbed since shortly before `start`.
+    fn was_undisturbed(&self, start: Instant) -> bool {
+        let disturbed = lock(&self.hosts).iter().map(|host| host.last_disturbed).max();
+        let disturbed = disturbed.max(Some(*lock(&self.store_disturbed)));
+        disturbed.is_some_and(|at| at + UNDISTURBED_WINDOW < start)
+    }
+
     /// Returns the number of requests that these upstreams have received so far.
     fn arrivals(&self, ids: &[Box<str>]) -> usize {
         let environment = lock(&self.environment);
