End a rate limit only by a signed answer, and log its start and end

An answer without the upstream's signature ended a limit, which bytes that are no answer could cause. The log line of a change had a number or the text None in one field; start and end are two events now. The state that endpoints share is called Context, since start::Shared is another thing.

--- a/crates/node/src/endpoint.rs
+++ b/crates/node/src/endpoint.rs
@@ -13,7 +13,7 @@
 use crate::pool::Pool;
 
 /// State that all endpoints of a host share.
-pub struct Shared {
+pub struct Context {
     /// The hosts among which the rate limits of upstreams are divided.
     pub hosts: RefCell<Hosts>,
     /// Memory for incomplete answers.
@@ -32,8 +32,8 @@
     pub remote: bool,
     /// Whether another process answered at the address. The next entry of the upstream resets this.
     pub replaced: Cell<bool>,
-    /// What the endpoint shares with those of other upstreams.
-    pub shared: Rc<Shared>,
+    /// State that the endpoint shares with those of other upstreams.
+    pub context: Rc<Context>,
     /// Requests sent since the rate limit of the upstream last changed.
     limited_requests: Cell<u32>,
 }
@@ -44,7 +44,7 @@
     pub fn new(
         upstream: Arc<Upstream>,
         remote: bool,
-        shared: &Rc<Shared>,
+        context: &Rc<Context>,
         previous: Option<&Self>,
     ) -> Self {
         let replica = previous.map(|previous| Rc::clone(&previous.replica));
@@ -55,7 +55,7 @@
             upstream,
             remote,
             replaced: Cell::new(false),
-            shared: Rc::clone(shared),
+            context: Rc::clone(context),
             limited_requests: Cell::new(0),
         }
     }
@@ -67,11 +67,12 @@
 
     /// Records whether the answer to a request that was sent at `sent` states a rate limit.
     ///
-    /// A refusal without a rate limit says nothing, since the upstream has not run the request.
+    /// Only an answer with the upstream's signature ends a rate limit: a refusal comes from an
+    /// upstream that has not run the request, and other answers may be corrupt.
     pub fn record_answer(&self, now: Instant, sent: Instant, answer: &Answer) {
         match answer.rate_limit {
             Some(limit) => self.record_rate_limit(now, limit),
-            None if answer.refused => {}
+            None if answer.refused || answer.stamp.is_none() => {}
             None => {
                 let before = self.rate_limit();
                 self.replica.borrow_mut().lift_rate_limit(sent);
@@ -84,7 +85,7 @@
     /// together.
     pub fn record_rate_limit(&self, now: Instant, limit: f64) {
         let before = self.rate_limit();
-        let rate = self.shared.hosts.borrow().rate(&self.upstream.id, limit);
+        let rate = self.context.hosts.borrow().rate(&self.upstream.id, limit);
         self.replica.borrow_mut().state_rate_limit(now, limit, rate);
         self.log_rate_limit_change(before);
     }
@@ -92,7 +93,7 @@
     /// Applies a change of the hosts among which the rate limit is divided.
     pub fn update_rate(&self, now: Instant) {
         if let Some(limit) = self.rate_limit() {
-            let rate = self.shared.hosts.borrow().rate(&self.upstream.id, limit);
+            let rate = self.context.hosts.borrow().rate(&self.upstream.id, limit);
             self.replica.borrow_mut().set_rate(now, rate);
         }
     }
@@ -115,14 +116,15 @@
         if before == rate_limit {
             return;
         }
-        log::info!(
-            upstream = self.upstream.id,
-            service = self.upstream.service,
-            rate_limit,
-            previous = before,
-            requests = self.limited_requests.take();
-            "rate limit of an upstream changed"
-        );
+        let requests = self.limited_requests.take();
+        let (upstream, service) = (&*self.upstream.id, &*self.upstream.service);
+        match rate_limit {
+            Some(limit) => log::info!(
+                upstream, service, limit, requests;
+                "upstream has stated a rate limit"
+            ),
+            None => log::info!(upstream, service, requests; "rate limit of an upstream has ended"),
+        }
     }
 
     /// Returns whether this host may send to the upstream on behalf of another host.
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -109,7 +109,7 @@
     if response.status() != StatusCode::MISDIRECTED_REQUEST {
         endpoint.record_answer(Instant::now(), sent, &answer);
     }
-    let buffer = endpoint.shared.buffers.buffer();
+    let buffer = endpoint.context.buffers.buffer();
     let Some(reply) = pooled.connection().drive(collect(response, answer, buffer)).await else {
         return Completion::Unknown { cause: "answer incomplete or too large" };
     };
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -15,7 +15,7 @@
 use table::{Domain, Route, ServiceName, Share, Split, Upstream, UpstreamId, View};
 
 use crate::directory;
-use crate::endpoint::{Endpoint, Shared};
+use crate::endpoint::{Context, Endpoint};
 use crate::latency::Latency;
 use crate::peer::Peer;
 use crate::relays::Relays;
@@ -70,7 +70,7 @@
     relays: Relays,
     windows: BTreeMap<Box<str>, Window>,
     waiting: BTreeMap<ServiceName, Rc<()>>,
-    shared: Rc<Shared>,
+    context: Rc<Context>,
     random: StdRng,
     recent_advertised: Option<(Instant, usize)>,
     /// Fixed number of extra attempts that this host may send to each service per window, whatever
@@ -153,7 +153,7 @@
             relays: Relays::default(),
             windows: BTreeMap::new(),
             waiting: BTreeMap::new(),
-            shared: Rc::new(Shared { hosts, buffers: Rc::default() }),
+            context: Rc::new(Context { hosts, buffers: Rc::default() }),
             random: StdRng::seed_from_u64(seed),
             recent_advertised: None,
             slack: 0.0,
@@ -176,7 +176,7 @@
             count: state.recent_advertised(now, names.len()),
             includes_self: names.contains(&self.settings.host),
         };
-        state.shared.hosts.borrow_mut().update(now, &names, view.hosts.len());
+        state.context.hosts.borrow_mut().update(now, &names, view.hosts.len());
         let mut services: BTreeMap<ServiceName, Vec<Rc<Endpoint>>> = BTreeMap::new();
         let mut endpoints = BTreeMap::new();
         let mut new = Vec::new();
@@ -188,7 +188,7 @@
                 let endpoint = known.cloned().unwrap_or_else(|| {
                     let departed = state.departed.get(&upstream.id).map(|(_, endpoint)| endpoint);
                     let previous = state.endpoints.get(&upstream.id).or(departed);
-                    Rc::new(self.create_endpoint(now, &view, upstream, &state.shared, previous))
+                    Rc::new(self.create_endpoint(now, &view, upstream, &state.context, previous))
                 });
                 endpoint.connections.set_max(max);
                 endpoint.update_rate(now);
@@ -379,7 +379,7 @@
         now: Instant,
         view: &View,
         upstream: &Arc<Upstream>,
-        shared: &Rc<Shared>,
+        context: &Rc<Context>,
         previous: Option<&Rc<Endpoint>>,
     ) -> Endpoint {
         let remote = upstream.domain != self.settings.domain;
@@ -388,7 +388,7 @@
                 && previous.upstream.address == upstream.address
         });
         let endpoint =
-            Endpoint::new(Arc::clone(upstream), remote, shared, same.map(|previous| &**previous));
+            Endpoint::new(Arc::clone(upstream), remote, context, same.map(|previous| &**previous));
         if !upstream.warmup_left.is_zero() {
             let until = now + upstream.warmup_left;
             let cold = ColdStart::new(until, self.cold_spacing(view, upstream));
--- a/crates/node/tests/rate_limit.rs
+++ b/crates/node/tests/rate_limit.rs
@@ -4,6 +4,7 @@
 
 use std::time::{Duration, Instant};
 
+use standin::Fault;
 use support::{Node, World, until};
 
 /// Rate limit that the upstream states, in requests per second.
@@ -141,3 +142,26 @@
     }
     assert!(refused >= 20, "{refused} of 40 requests were refused");
 }
+
+/// Guards against a burst of requests after a refusal, which comes without a rate limit.
+#[tokio::test(flavor = "multi_thread")]
+async fn refusal_does_not_end_a_rate_limit() {
+    let world = World::start().await;
+    let node = Node::ready("a", &world).await;
+    let limited = &world.shards["single@perth-1"];
+    limited.set_rate_limit(Some(1_000.0));
+    until("the host knows of the limit", || async {
+        node.get("/one/x", "known").await;
+        limited_attempts(&node).await > 0
+    })
+    .await;
+    limited.set_rate_limit(None);
+    limited.set_fault(Fault::Shed);
+    let (known, arrivals) = (limited_attempts(&node).await, limited.arrivals());
+    until("the upstream has refused some requests", || async {
+        node.get("/one/x", "refused").await;
+        limited.arrivals() >= arrivals + 3
+    })
+    .await;
+    assert!(limited_attempts(&node).await >= known + 3, "a refusal has ended the limit");
+}
