Bound the time until the next request after a limit falls

A limit that falls from a very high value, as a corrupt header may state, to a low one scaled the few requests sent ahead to hours without any: found by reading. The time is at most one spacing and a burst now, and a spacing at least 1 us. extreme_limits_do_not_block_an_upstream_for_long failed before and passes now.

--- a/crates/pick/src/rate_limit.rs
+++ b/crates/pick/src/rate_limit.rs
@@ -8,6 +8,9 @@
 /// Maximum time between two requests, so that hosts with a tiny part of the limit learn of its end.
 const MAX_SPACING: Duration = Duration::from_secs(600);
 
+/// Minimum time between two requests, which an upstream does not notice.
+const MIN_SPACING: Duration = Duration::from_micros(1);
+
 /// Time after the last answer that stated the limit from which other hosts are no longer told about
 /// it, since it may have ended.
 const FRESH_TIME: Duration = Duration::from_secs(10);
@@ -38,12 +41,12 @@
     }
 
     /// Replaces this host's rate, because the limit or the hosts have changed. The time until the
-    /// next request changes in the same ratio as the spacing.
+    /// next request changes in the same ratio as the spacing, but is at most one spacing.
     pub fn set_rate(&mut self, now: Instant, rate: f64) {
         let spacing = spacing(rate);
         let ratio = spacing.div_duration_f64(self.spacing);
         if self.due > now {
-            self.due = now + (self.due - now).mul_f64(ratio);
+            self.due = now + (self.due - now).mul_f64(ratio).min(BURST_TIME + spacing);
         }
         (self.rate, self.spacing) = (rate, spacing);
     }
@@ -100,5 +103,6 @@
 }
 
 fn spacing(rate: f64) -> Duration {
-    Duration::try_from_secs_f64(1.0 / rate).map_or(MAX_SPACING, |spacing| spacing.min(MAX_SPACING))
+    let spacing = Duration::try_from_secs_f64(1.0 / rate).unwrap_or(MAX_SPACING);
+    spacing.clamp(MIN_SPACING, MAX_SPACING)
 }
--- a/crates/pick/tests/rate_limit.rs
+++ b/crates/pick/tests/rate_limit.rs
@@ -195,3 +195,23 @@
     replica.set_rate(now + ms(100), 2.0);
     assert!(replica.available_at(now) <= now + ms(600));
 }
+
+/// Guards against a panic, or an upstream that gets nothing for hours, after a corrupt limit.
+#[test]
+fn extreme_limits_do_not_block_an_upstream_for_long() {
+    let now = Instant::now();
+    let mut hosts = seen_by("host-0", now, &names(6), 6);
+    let mut replica = Replica::new(2);
+    for limit in [1e300, 0.0, 1e9, 1e-300, f64::MAX, 0.0, 10.0] {
+        replica.state_rate_limit(now, limit, hosts.rate(UPSTREAM, limit));
+        assert!(replica.available_at(now) <= now + Duration::from_secs(600), "{limit}");
+        for _ in 0..100 {
+            if replica.is_usable(now) {
+                replica.begin(now);
+            }
+        }
+    }
+    hosts.update(now, &[], 0);
+    replica.state_rate_limit(now + ms(10), 10.0, hosts.rate(UPSTREAM, 10.0));
+    assert!(replica.available_at(now + ms(10)) < now + Duration::from_secs(10));
+}
