Share the wait for a rate limit between its tests

Two tests of node waited in the same lines until the host knew of a limit. Their assertions are unchanged. A doc comment of the pool is wrapped again.

--- a/crates/node/src/pool.rs
+++ b/crates/node/src/pool.rs
@@ -109,8 +109,7 @@
     }
 
     /// Returns the connection to the pool if it can carry another request and the pool is not
-    /// closed. `idle_timeout` is the
-    /// time after which the peer closes an idle connection, if known.
+    /// closed. `idle_timeout` is the time after which the peer closes an idle connection, if known.
     pub fn checkin(mut self, now: Instant, idle_timeout: Option<Duration>) {
         if self.pool.max.get() == 0 {
             return;
--- a/crates/node/tests/rate_limit.rs
+++ b/crates/node/tests/rate_limit.rs
@@ -73,6 +73,15 @@
     lines.filter_map(|line| line.rsplit(' ').next()?.parse::<u64>().ok()).sum()
 }
 
+/// Sends requests until the host has sent one within a rate limit, which it knows then.
+async fn learn_limit(node: &Node, path: &str) {
+    until("the host knows of the limit", || async {
+        node.get(path, "known").await;
+        limited_attempts(node).await > 0
+    })
+    .await;
+}
+
 /// Guards against a burst of requests after an upstream was out of the view for a moment, because
 /// its failure domain was evacuated or its entry was lost: hosts must still know its rate limit.
 #[tokio::test(flavor = "multi_thread")]
@@ -81,11 +90,7 @@
     let node = Node::ready("a", &world).await;
     let limited = &world.shards["shard-0@perth-1"];
     limited.set_rate_limit(Some(100.0));
-    until("the host knows of the limit", || async {
-        node.get("/all/x", "known").await;
-        limited_attempts(&node).await > 0
-    })
-    .await;
+    learn_limit(&node, "/all/x").await;
     world.kv.put("op/evacuate/perth-1", b"{}");
     // Unlike the limited upstream, the others of the domain get a request of each query.
     let others = || world.arrivals("shard-1@perth-1") + world.arrivals("shard-2@perth-1");
@@ -150,11 +155,7 @@
     let node = Node::ready("a", &world).await;
     let limited = &world.shards["single@perth-1"];
     limited.set_rate_limit(Some(1_000.0));
-    until("the host knows of the limit", || async {
-        node.get("/one/x", "known").await;
-        limited_attempts(&node).await > 0
-    })
-    .await;
+    learn_limit(&node, "/one/x").await;
     limited.set_rate_limit(None);
     limited.set_fault(Fault::Shed);
     let (known, arrivals) = (limited_attempts(&node).await, limited.arrivals());
