Log attempts whose connection broke, with the fingerprint of the request

A broken connection is an outcome of its own now (`broken`, before part of `unknown`), its line has the level info and names request, upstream and the fingerprint of the content, which repetitions share; failed single requests describe their last obstacle like queries do. No decision has changed.

--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -11,6 +11,7 @@
 use hyper::{Method, Request, Uri};
 use pick::{Outcome, Token};
 use platform::Call;
+use quarantine::Fingerprint;
 
 use crate::endpoint::Endpoint;
 use crate::exchange::{Completion, exchange};
@@ -40,6 +41,12 @@
 }
 
 impl Outgoing {
+    /// Returns the fingerprint by which repetitions of the request are recognized.
+    pub fn fingerprint(&self) -> Fingerprint {
+        let target = self.target.path_and_query().map_or("", |target| target.as_str());
+        quarantine::fingerprint(self.method.as_str(), &self.call.host, target, &self.body)
+    }
+
     /// Builds the request with the given headers.
     pub fn request(&self, headers: HeaderMap) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
@@ -112,6 +119,7 @@
                 (Outcome::Refused, if *replaced { "replaced" } else { "refused" })
             }
             Completion::Unsent => (Outcome::Lost, "unsent"),
+            Completion::Broken { .. } => (Outcome::Failed, "broken"),
             Completion::Unknown { .. } => (Outcome::Failed, "unknown"),
         };
         self.close(now, outcome, name);
@@ -183,6 +191,17 @@
     let request = outgoing.request(headers);
     let completion = exchange(&endpoint, request, &outgoing.call.id, &metrics).await;
     let time = sent.elapsed();
+    if let Completion::Broken { cause } = completion {
+        log::info!(
+            request = outgoing.call.id_text(),
+            fingerprint:% = format_args!("{:016x}", outgoing.fingerprint()),
+            upstream = endpoint.upstream.id,
+            service = endpoint.upstream.service,
+            cause,
+            time_ms = time.as_secs_f64() * 1_000.0;
+            "connection to an upstream broke during a request"
+        );
+    }
     attempt.end(Instant::now(), time, &completion);
     Finished { part, endpoint, completion, time }
 }
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -46,6 +46,12 @@
     },
     /// The attempt failed before anything was written, so the upstream has not run the request.
     Unsent,
+    /// The connection broke after the request was written and before the answer was complete, as
+    /// when the upstream crashes. The request may have run.
+    Broken {
+        /// Description of the failure for the log.
+        cause: &'static str,
+    },
     /// There is no usable answer; the request may have run.
     Unknown {
         /// Description of the failure for the log.
@@ -62,7 +68,7 @@
             Self::Replied(reply) => queued(reply.answer.load),
             Self::Merged { load, .. } => queued(*load),
             Self::Refused { replaced } => !replaced,
-            Self::Unsent | Self::Unknown { .. } => false,
+            Self::Unsent | Self::Broken { .. } | Self::Unknown { .. } => false,
         }
     }
 }
@@ -98,7 +104,7 @@
         Err(mut error) => {
             return match error.take_message() {
                 Some(_) => Completion::Unsent,
-                None => Completion::Unknown { cause: "connection closed before an answer" },
+                None => Completion::Broken { cause: "connection closed before an answer" },
             };
         }
     };
@@ -110,8 +116,9 @@
         endpoint.record_answer(Instant::now(), sent, &answer);
     }
     let buffer = endpoint.context.buffers.buffer();
-    let Some(reply) = pooled.connection().drive(collect(response, answer, buffer)).await else {
-        return Completion::Unknown { cause: "answer incomplete or too large" };
+    let reply = match pooled.connection().drive(collect(response, answer, buffer)).await {
+        Ok(reply) => reply,
+        Err(completion) => return completion,
     };
     if !reply.answer.closes {
         pooled.checkin(Instant::now(), reply.answer.keep_alive);
@@ -132,20 +139,26 @@
     }
 }
 
+/// Reads the rest of an answer.
+///
+/// # Errors
+///
+/// Returns how the exchange ended if the answer is incomplete or too large.
 async fn collect(
     response: Response<Incoming>,
     answer: Answer,
     mut buffer: Buffer,
-) -> Option<Reply> {
+) -> Result<Reply, Completion> {
     let (parts, mut body) = response.into_parts();
     while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.ok()?.into_data() else { continue };
+        let frame = frame.map_err(|_| Completion::Broken { cause: "answer incomplete" })?;
+        let Ok(data) = frame.into_data() else { continue };
         if !buffer.push(data) {
-            return None;
+            return Err(Completion::Unknown { cause: "answer too large" });
         }
     }
     let body = buffer.into_bytes();
-    Some(Reply { status: parts.status, headers: parts.headers, body, answer })
+    Ok(Reply { status: parts.status, headers: parts.headers, body, answer })
 }
 
 async fn connect(endpoint: &Endpoint, metrics: &Metrics) -> Option<PooledConnection> {
--- a/crates/node/src/fanout.rs
+++ b/crates/node/src/fanout.rs
@@ -494,7 +494,7 @@
                 Failure::Refused
             }
             Completion::Unsent => Failure::Unsent,
-            Completion::Unknown { cause } => {
+            Completion::Broken { cause } | Completion::Unknown { cause } => {
                 part.obstacle = Some(cause);
                 log::debug!(
                     request = self.outgoing.call.id_text(),
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -324,7 +324,7 @@
         let mut fanout =
             Fanout::new(Rc::clone(&self.registry), metrics, outgoing, route, services, 1, 0);
         fanout.start(Instant::now());
-        match fanout.next(deadline).await {
+        let outcome = match fanout.next(deadline).await {
             Event::Part(_, reply) | Event::Lost(_, Some(reply)) => Outcome::from_reply(reply),
             Event::Lost(_, None) if fanout.is_not_run() => Outcome::error(
                 StatusCode::SERVICE_UNAVAILABLE,
@@ -341,7 +341,8 @@
                 "no upstream took the request in time",
             ),
             Event::Due => Outcome::error(StatusCode::GATEWAY_TIMEOUT, None, "timeout"),
-        }
+        };
+        Outcome { detail: fanout.describe_missing(Instant::now()), ..outcome }
     }
 
     async fn gather(
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -212,7 +212,10 @@
                 self.collector.fail(part, End::Refused { replaced });
             }
             Completion::Unsent => self.collector.fail(part, End::Unsent),
-            Completion::Replied(_) | Completion::Merged { .. } | Completion::Unknown { .. } => {
+            Completion::Replied(_)
+            | Completion::Merged { .. }
+            | Completion::Broken { .. }
+            | Completion::Unknown { .. } => {
                 log::debug!(upstream = endpoint.upstream.id; "attempt for a relay request failed");
                 self.collector.fail(part, End::Failed);
             }
