--- a/crates/standin/src/kv.rs
+++ b/crates/standin/src/kv.rs
@@ -357,10 +357,12 @@
     }
 }
 
-/// Returns a parameter of a query string; `%2F` is the only escape that is decoded.
+/// Returns a parameter of a query string; `%2F` and `%40` are the only escapes that are decoded.
 fn parameter(query: &str, name: &str) -> Option<String> {
     let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    pairs.find(|(key, _)| *key == name).map(|(_, value)| value.replace("%2F", "/"))
+    pairs
+        .find(|(key, _)| *key == name)
+        .map(|(_, value)| value.replace("%2F", "/").replace("%40", "@"))
 }
 
 fn response(status: u16, body: &Value) -> Response<Full<Bytes>> {
--- a/crates/standin/src/shard.rs
+++ b/crates/standin/src/shard.rs
@@ -63,6 +63,9 @@
     records: Box<[u8]>,
     runs: Vec<Run>,
     arrivals: usize,
+    /// Text in the request line of requests at which the upstream crashes.
+    crash_on: Option<Box<str>>,
+    crashes: usize,
 }
 
 /// A handle on a running stand-in upstream; clones refer to the same upstream.
@@ -71,6 +74,8 @@
     address: SocketAddr,
     /// The state, and a channel that signals each freed slot.
     shared: Arc<(Mutex<State>, watch::Sender<u64>)>,
+    /// Whether the upstream runs: it does not between a crash and the restart.
+    up: Arc<watch::Sender<bool>>,
 }
 
 /// A request as read from a connection.
@@ -100,7 +105,7 @@
             ..State::default()
         };
         let shared = Arc::new((Mutex::new(state), watch::channel(0).0));
-        let shard = Self { address, shared };
+        let shard = Self { address, shared, up: Arc::new(watch::channel(true).0) };
         tokio::spawn(shard.clone().serve(listener));
         Ok(shard)
     }
@@ -130,6 +135,23 @@
         self.state().rate_limit = rate_limit;
     }
 
+    /// Makes the upstream crash at the end of each request whose request line contains `text`: it
+    /// closes all connections and refuses new ones until [`restart`](Self::restart).
+    pub fn set_crash_on(&self, text: &str) {
+        self.state().crash_on = Some(text.into());
+    }
+
+    /// Accepts connections again after a crash, under the given instance id.
+    pub fn restart(&self, instance: &str) {
+        self.set_instance(instance);
+        self.up.send_replace(true);
+    }
+
+    /// Returns how often the upstream has crashed.
+    pub fn crashes(&self) -> usize {
+        self.state().crashes
+    }
+
     /// Returns the requests that have started to run, in their order.
     pub fn runs(&self) -> Vec<Run> {
         self.state().runs.clone()
@@ -149,11 +171,35 @@
         self.shared.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    async fn serve(self, listener: TcpListener) {
+    /// Accepts connections while the upstream is up. The sender of `up` lives as long as `self`, so
+    /// waiting for it cannot fail.
+    async fn serve(self, mut listener: TcpListener) {
+        let mut up = self.up.subscribe();
+        loop {
+            tokio::select! {
+                _ = up.wait_for(|up| !up) => {}
+                () = self.accept(&listener) => return,
+            }
+            drop(listener);
+            let _ = up.wait_for(|up| *up).await;
+            match TcpListener::bind(self.address).await {
+                Ok(bound) => listener = bound,
+                Err(error) => panic!("cannot bind {} again: {error}", self.address),
+            }
+        }
+    }
+
+    async fn accept(&self, listener: &TcpListener) {
         while let Ok((stream, _)) = listener.accept().await {
             let shard = self.clone();
-            // I/O errors are ignored, since many tests break connections on purpose.
-            tokio::spawn(async move { shard.serve_connection(stream).await.ok() });
+            let mut up = self.up.subscribe();
+            tokio::spawn(async move {
+                tokio::select! {
+                    // I/O errors are ignored, since many tests break connections on purpose.
+                    result = shard.serve_connection(stream) => result.ok(),
+                    _ = up.wait_for(|up| !up) => None,
+                }
+            });
         }
     }
 
@@ -203,6 +249,9 @@
             (state.service_time, state.rate_limit, state.records.clone())
         };
         tokio::time::sleep(service_time).await;
+        if self.crash_at(&message.line) {
+            return Ok(false);
+        }
         let status = if fault == Fault::Error { "500 Failed" } else { "200 OK" };
         let stamp = format!("{instance}.{id}.{}", records.len());
         let limit = rate_limit.map_or_else(String::new, |rate| format!("{LIMIT}: {rate}\r\n"));
@@ -228,6 +277,19 @@
         }
     }
 
+    /// Crashes if the request with this request line is one to crash at; returns whether it is.
+    fn crash_at(&self, line: &str) -> bool {
+        {
+            let mut state = self.state();
+            if !state.crash_on.as_deref().is_some_and(|text| line.contains(text)) {
+                return false;
+            }
+            state.crashes += 1;
+        }
+        self.up.send_replace(false);
+        true
+    }
+
     /// Waits for a slot, which the returned guard frees when it is dropped.
     async fn acquire_slot(&self) -> Slot<'_> {
         let mut freed = self.shared.1.subscribe();
