Refuse requests that have crashed several upstreams

Callers saw: contract-fetch without an upstream for seconds, since one request came back at all hosts and each sent it on to the next upstream; queries of several shards failed for 19 s after one query had crashed both replicas of all shards. Cause: nothing about a request outlived its answer, so that each repetition, at any host, was sent on like a new request, and retries of a query took the second replica of each shard with them. Ruled out: repeats by the hosts themselves for single requests (one crash an answer in the record).

--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::HeaderMap;
+use hyper::http::uri::PathAndQuery;
 use hyper::{Method, Request, Uri};
 use pick::{Outcome, Token};
 use platform::Call;
@@ -38,13 +39,22 @@
     pub body: Bytes,
     /// Time by which the caller gets a final answer.
     pub deadline: Instant,
+    /// Recognizes repetitions of the request.
+    pub fingerprint: Fingerprint,
 }
 
 impl Outgoing {
-    /// Returns the fingerprint by which repetitions of the request are recognized.
-    pub fn fingerprint(&self) -> Fingerprint {
-        let target = self.target.path_and_query().map_or("", |target| target.as_str());
-        quarantine::fingerprint(self.method.as_str(), &self.call.host, target, &self.body)
+    /// Creates the request with the given method, path and query, and body.
+    pub fn new(
+        call: Call,
+        method: Method,
+        target: PathAndQuery,
+        body: Bytes,
+        deadline: Instant,
+    ) -> Self {
+        let fingerprint =
+            quarantine::fingerprint(method.as_str(), &call.host, target.as_str(), &body);
+        Self { call, method, target: target.into(), body, deadline, fingerprint }
     }
 
     /// Builds the request with the given headers.
@@ -194,13 +204,16 @@
     if let Completion::Broken { cause } = completion {
         log::info!(
             request = outgoing.call.id_text(),
-            fingerprint:% = format_args!("{:016x}", outgoing.fingerprint()),
+            fingerprint:% = format_args!("{:016x}", outgoing.fingerprint),
             upstream = endpoint.upstream.id,
             service = endpoint.upstream.service,
             cause,
             time_ms = time.as_secs_f64() * 1_000.0;
             "connection to an upstream broke during a request"
         );
+        endpoint.context.crashes.record_broken(Instant::now(), &outgoing, &endpoint);
+    } else if matches!(&completion, Completion::Replied(reply) if reply.is_usable()) {
+        endpoint.context.crashes.record_answer(outgoing.fingerprint);
     }
     attempt.end(Instant::now(), time, &completion);
     Finished { part, endpoint, completion, time }
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -12,12 +12,14 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use platform::DiscoveryRequest;
+use quarantine::Strike;
 use table::{Host, View};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::task::spawn_local;
 
 use crate::directory;
 use crate::follow::{self, Update};
+use crate::reporter::Reporter;
 use crate::server::{Body, empty_response, http_builder, response, serve};
 use crate::start::Shared;
 
@@ -89,13 +91,16 @@
 }
 
 impl Control {
-    /// Runs the thread until the process ends.
+    /// Runs the thread until the process ends. Writes the received reports to the store.
     pub async fn run(
         shared: Shared,
         store: platform::Client,
         listeners: Listeners,
         view: watch::Sender<Arc<View>>,
+        reports: mpsc::Receiver<Strike>,
     ) {
+        let reporter = Reporter::new(store.clone(), Arc::clone(&shared.metrics));
+        spawn_local(reporter.run(reports));
         let control = Rc::new(Self::new(shared, view));
         for listener in [listeners.directory, listeners.readiness] {
             let this = Rc::clone(&control);
--- a/crates/node/src/endpoint.rs
+++ b/crates/node/src/endpoint.rs
@@ -10,6 +10,7 @@
 use table::Upstream;
 
 use crate::buffers::Buffers;
+use crate::crashes::Crashes;
 use crate::pool::Pool;
 
 /// State that all endpoints of a host share.
@@ -18,6 +19,8 @@
     pub hosts: RefCell<Hosts>,
     /// Memory for incomplete answers.
     pub buffers: Rc<Buffers>,
+    /// Requests that crash upstreams.
+    pub crashes: Rc<Crashes>,
 }
 
 /// An upstream with its connections and statistics.
--- a/crates/node/src/fanout.rs
+++ b/crates/node/src/fanout.rs
@@ -52,6 +52,10 @@
 /// fewer queries.
 const MIN_SATURATED_RATIO: f64 = 0.25;
 
+/// Number of attempts without an answer after which a query gets no more if none of its parts was
+/// answered. The request itself is then the probable cause, and more attempts would only spread it.
+const MAX_UNANSWERED_FAILURES: usize = 3;
+
 /// Progress of a request.
 #[derive(Debug)]
 pub enum Event {
@@ -106,6 +110,12 @@
     max_records: usize,
     /// Number of ended attempts at saturated upstreams, hedges and retries included.
     saturated: usize,
+    /// Number of parts that were answered.
+    answers: usize,
+    /// Number of attempts that may have run and ended without a usable answer.
+    failures: usize,
+    /// Whether the first part must be answered before another one is sent.
+    probing: bool,
     next_due: Option<Instant>,
     in_flight: FuturesUnordered<LocalBoxFuture<'static, Completed>>,
     timer: Pin<Box<Sleep>>,
@@ -147,6 +157,9 @@
             spare: services.len().saturating_sub(min_parts),
             max_records,
             saturated: 0,
+            answers: 0,
+            failures: 0,
+            probing: false,
             next_due: None,
             in_flight: FuturesUnordered::new(),
             timer: Box::pin(sleep_until(Instant::now().into())),
@@ -196,6 +209,13 @@
         }
     }
 
+    /// Starts the first attempt for one part of a query that may have crashed upstreams. The others
+    /// follow once it is answered, and are lost if its attempt fails.
+    pub fn start_probe(&mut self, now: Instant) {
+        self.probing = true;
+        self.start(now);
+    }
+
     /// Marks a part as lost because none of its upstreams accepts requests in time.
     pub fn skip(&mut self, part: usize) {
         self.mark_lost(part);
@@ -299,7 +319,20 @@
         lost
     }
 
+    /// Returns whether all attempts so far may have failed because of the request itself.
+    fn is_unproven(&self) -> bool {
+        self.parts.len() > 1 && self.answers == 0 && (self.probing || self.failures > 0)
+    }
+
+    /// Returns whether so many attempts have failed that an unproven request gets no more.
+    fn has_failed(&self) -> bool {
+        self.failures >= if self.probing { 1 } else { MAX_UNANSWERED_FAILURES }
+    }
+
     fn hedge(&mut self, now: Instant, index: usize) {
+        if self.is_unproven() {
+            return self.schedule(now + RETRY_DELAY, index);
+        }
         let part = &self.parts[index];
         if !part.attempts.may_hedge() {
             return;
@@ -330,6 +363,17 @@
         if now + MIN_REMAINING_TIME >= self.outgoing.deadline {
             return false;
         }
+        if self.is_unproven() {
+            // An answer to any part shows that the request is not the cause of the failures.
+            if self.parts.iter().any(|part| part.attempts.is_running()) {
+                self.schedule(now + RETRY_DELAY, index);
+                return true;
+            }
+            if self.has_failed() {
+                self.parts[index].obstacle.get_or_insert("no part of the query was answered");
+                return false;
+            }
+        }
         let Some(endpoint) = self.select(now, index, None) else { return true };
         let part = &mut self.parts[index];
         let purpose = if self.spare > 0 { Purpose::OptionalRetry } else { Purpose::RequiredRetry };
@@ -477,11 +521,13 @@
             Completion::Replied(reply) if reply.is_usable() => {
                 part.done = true;
                 part.answered = true;
+                self.answers += 1;
                 return Some(Event::Part(index, reply));
             }
             Completion::Merged { .. } => {
                 part.done = true;
                 part.answered = true;
+                self.answers += 1;
                 return None;
             }
             Completion::Replied(reply) => {
@@ -505,6 +551,7 @@
                 Failure::Unknown
             }
         };
+        self.failures += usize::from(end == Failure::Unknown);
         let may_retry = part.attempts.ended(&endpoint.upstream.id, end);
         if part.attempts.is_running() || may_retry && self.send(now, index) {
             return None;
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -17,10 +17,12 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use limit::{LoopLag, TICK_INTERVAL};
 use platform::Call;
+use quarantine::Strike;
 use table::{Route, ServiceName, Target, View};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 
 use crate::attempt::Outgoing;
+use crate::crashes::Crashes;
 use crate::exchange::{Reply, preconnect};
 use crate::fanout::{Event, Fanout};
 use crate::metrics::Status;
@@ -104,10 +106,16 @@
 }
 
 impl Front {
-    /// Serves callers until the process has stopped.
-    pub async fn run(shared: Shared, listeners: Listeners, mut views: watch::Receiver<Arc<View>>) {
-        let seed = rand::random();
-        let registry = Rc::new(Registry::new(Arc::clone(&shared.settings), seed));
+    /// Serves callers until the process has stopped. Crashes of upstreams are sent to `reports`.
+    pub async fn run(
+        shared: Shared,
+        listeners: Listeners,
+        mut views: watch::Receiver<Arc<View>>,
+        reports: mpsc::Sender<Strike>,
+    ) {
+        let crashes = Crashes::new(reports, Arc::clone(&shared.metrics));
+        let registry = Registry::new(Arc::clone(&shared.settings), crashes, rand::random());
+        let registry = Rc::new(registry);
         let relay = Relay::new(&registry, &shared.metrics);
         tokio::task::spawn_local(Rc::clone(&relay).run(listeners.relay));
         let front = Rc::new(Self {
@@ -293,7 +301,15 @@
         }
         let time = call.timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
         let deadline = arrival + time.saturating_sub(FINAL_MARGIN);
-        let outgoing = Outgoing { call, method, target: target.into(), body, deadline };
+        let outgoing = Outgoing::new(call, method, target, body, deadline);
+        let now = Instant::now();
+        if let Some(until) = self.registry.crashes().refused_until(now, outgoing.fingerprint) {
+            return Outcome::error(
+                StatusCode::SERVICE_UNAVAILABLE,
+                Some(until - now),
+                "request has crashed several upstreams",
+            );
+        }
         let outcome = match &route.target {
             Target::Service(service) => self.single(route, service, outgoing).await,
             Target::Split(shares) => match self.registry.next_share(&route.name, shares) {
@@ -353,7 +369,7 @@
         outgoing: Outgoing,
     ) -> Outcome {
         let deadline = outgoing.deadline;
-        let id = outgoing.call.id.clone();
+        let (id, fingerprint) = (outgoing.call.id.clone(), outgoing.fingerprint);
         let margin = RETURN_MARGIN + route.objective.mul_f64(RETURN_OBJECTIVE_RATIO);
         let soft_deadline = arrival + route.objective.saturating_sub(margin);
         let mut state =
@@ -380,7 +396,11 @@
         let mut fanout =
             Fanout::new(registry, metrics, outgoing, route, services, min_parts, max_records);
         availability.unavailable_by(soft_deadline).for_each(|shard| fanout.skip(shard));
-        fanout.start_query(Instant::now(), soft_deadline);
+        if self.registry.crashes().is_suspect(now, fingerprint) {
+            fanout.start_probe(Instant::now());
+        } else {
+            fanout.start_query(Instant::now(), soft_deadline);
+        }
         loop {
             let until = match state.step(Instant::now()) {
                 Step::Wait(until) => until,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,6 +12,7 @@
 mod buffers;
 mod connection;
 mod control;
+mod crashes;
 mod directory;
 mod endpoint;
 mod exchange;
@@ -27,6 +28,7 @@
 mod relay;
 mod relay_call;
 mod relays;
+mod reporter;
 mod server;
 mod start;
 
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -66,6 +66,10 @@
     pub relay_requests: Counter,
     /// Relay requests of other hosts that this host accepted.
     pub relay_requests_served: Counter,
+    /// Crashes of upstreams during requests of this host that were reported to the other hosts.
+    pub crashes: Counter,
+    /// Refusals of requests that crash upstreams.
+    pub quarantined_requests: Counter,
     /// Connections to upstreams, including those that could not be opened.
     pub connections: Counter,
     /// Calls to the store. A read in several pages, or a watch that is continued because its
@@ -89,6 +93,8 @@
             parts_missing: Counter::default(),
             relay_requests: Counter::default(),
             relay_requests_served: Counter::default(),
+            crashes: Counter::default(),
+            quarantined_requests: Counter::default(),
             connections: Counter::default(),
             store_calls: Counter::default(),
             store_failures: Counter::default(),
@@ -143,6 +149,16 @@
             "Relay requests accepted from other hosts",
             self.relay_requests_served.clone(),
         );
+        registry.register(
+            "crashes",
+            "Crashes of upstreams during requests that were not answered",
+            self.crashes.clone(),
+        );
+        registry.register(
+            "quarantined_requests",
+            "Refusals of requests that crash upstreams",
+            self.quarantined_requests.clone(),
+        );
         registry.register(
             "connections_opened",
             "Connections to upstreams, including those that could not be opened",
--- a/crates/node/src/pool.rs
+++ b/crates/node/src/pool.rs
@@ -31,6 +31,7 @@
     idle: RefCell<Vec<Idle>>,
     open: Cell<usize>,
     max: Cell<usize>,
+    last_returned: Cell<Option<Instant>>,
 }
 
 impl Pool {
@@ -80,6 +81,13 @@
         self.open.set(self.open.get() - idle.len());
     }
 
+    /// Returns whether the peer is known to be alive at a time after `since`: a connection was
+    /// returned after that, or an idle one is open now.
+    pub fn is_alive_since(&self, since: Instant) -> bool {
+        let returned = self.last_returned.get().is_some_and(|returned| returned > since);
+        returned || self.idle.borrow_mut().iter_mut().any(|idle| idle.connection.is_usable())
+    }
+
     fn record_closed(&self) {
         self.open.set(self.open.get() - 1);
     }
@@ -111,6 +119,7 @@
     /// Returns the connection to the pool if it can carry another request and the pool is not
     /// closed. `idle_timeout` is the time after which the peer closes an idle connection, if known.
     pub fn checkin(mut self, now: Instant, idle_timeout: Option<Duration>) {
+        self.pool.last_returned.set(Some(now));
         if self.pool.max.get() == 0 {
             return;
         }
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -14,6 +14,7 @@
 use rand::{RngExt, SeedableRng};
 use table::{Domain, Route, ServiceName, Share, Split, Upstream, UpstreamId, View};
 
+use crate::crashes::Crashes;
 use crate::directory;
 use crate::endpoint::{Context, Endpoint};
 use crate::latency::Latency;
@@ -140,7 +141,7 @@
 
 impl Registry {
     /// Creates an empty registry; `seed` determines how ties are broken.
-    pub fn new(settings: Arc<Settings>, seed: u64) -> Self {
+    pub fn new(settings: Arc<Settings>, crashes: Rc<Crashes>, seed: u64) -> Self {
         let hosts = RefCell::new(Hosts::new(&settings.host));
         let state = State {
             view: Arc::default(),
@@ -153,7 +154,7 @@
             relays: Relays::default(),
             windows: BTreeMap::new(),
             waiting: BTreeMap::new(),
-            context: Rc::new(Context { hosts, buffers: Rc::default() }),
+            context: Rc::new(Context { hosts, buffers: Rc::default(), crashes }),
             random: StdRng::seed_from_u64(seed),
             recent_advertised: None,
             slack: 0.0,
@@ -161,6 +162,11 @@
         Self { settings, state: RefCell::new(state) }
     }
 
+    /// Returns the requests that crash upstreams.
+    pub fn crashes(&self) -> Rc<Crashes> {
+        Rc::clone(&self.state.borrow().context.crashes)
+    }
+
     /// Returns the current view.
     pub fn view(&self) -> Arc<View> {
         Arc::clone(&self.state.borrow().view)
@@ -176,6 +182,7 @@
             count: state.recent_advertised(now, names.len()),
             includes_self: names.contains(&self.settings.host),
         };
+        state.context.crashes.update(now, &view);
         state.context.hosts.borrow_mut().update(now, &names, view.hosts.len());
         let mut services: BTreeMap<ServiceName, Vec<Rc<Endpoint>>> = BTreeMap::new();
         let mut endpoints = BTreeMap::new();
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -127,8 +127,10 @@
         let route = table.find(&call.host, target.path()).ok_or(unavailable("no such route"))?;
         let body = read_body(request.into_body(), table.limits()).await?;
         let now = Instant::now();
-        let outgoing =
-            Outgoing { call, method, target: target.into(), body, deadline: now + timeout };
+        let outgoing = Outgoing::new(call, method, target, body, now + timeout);
+        if self.registry.crashes().refused_until(now, outgoing.fingerprint).is_some() {
+            return Err(unavailable("request has crashed several upstreams"));
+        }
         self.metrics.relay_requests_served.inc();
         let latency = self.registry.latency(route);
         let mut job = Job::new(now, &self, &relay_request);
--- a/crates/node/src/relay_call.rs
+++ b/crates/node/src/relay_call.rs
@@ -151,7 +151,10 @@
             let Some((part, attempt)) = part else { continue };
             let endpoint = Rc::clone(attempt.endpoint());
             let (completion, time) = match end {
-                End::Answered { stamp, load, time } => (Completion::Merged { stamp, load }, time),
+                End::Answered { stamp, load, time } => {
+                    endpoint.context.crashes.record_answer(self.outgoing.fingerprint);
+                    (Completion::Merged { stamp, load }, time)
+                }
                 End::Refused { replaced } => (Completion::Refused { replaced }, Duration::ZERO),
                 End::Unsent => (Completion::Unsent, Duration::ZERO),
                 End::Failed => (Completion::Unknown { cause: "failed at a relay" }, Duration::ZERO),
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -6,11 +6,12 @@
 use kernel::{Error, Process, Result, ShutdownSignal};
 use platform::Settings;
 use table::View;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 
 use crate::control::Control;
 use crate::front::Front;
 use crate::metrics::Metrics;
+use crate::reporter::MAX_WAITING;
 use crate::server::listen;
 
 /// State that the threads share.
@@ -61,17 +62,20 @@
         listen(SocketAddr::from((metrics_address(settings.front), options.metrics_port)))?;
     let store = platform::Client::new(settings.store).map_err(Error::other)?;
     let (view, views) = watch::channel(Arc::new(View::default()));
+    let (reports, reported) = mpsc::channel(MAX_WAITING);
 
     let traffic = shared.clone();
     let thread = kernel::spawn_local("traffic", move || {
         let listeners = crate::front::Listeners { front, relay };
-        Front::run(traffic, listeners, views)
+        Front::run(traffic, listeners, views, reports)
     })?;
     process.add_thread(thread);
     let control = shared.clone();
     let listeners = crate::control::Listeners { readiness, peer, directory, metrics };
     // The control thread serves until the process ends, so the process does not wait for it.
-    kernel::spawn_local("control", move || Control::run(control, store, listeners, view))?;
+    kernel::spawn_local("control", move || {
+        Control::run(control, store, listeners, view, reported)
+    })?;
     log::info!(
         host = settings.host,
         domain = settings.domain,
--- a/crates/node/tests/crash.rs
+++ b/crates/node/tests/crash.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use reqwest::Method;
-use standin::Shard;
+use standin::{Fault, Shard, StoreFault};
 use support::{Node, World, until};
 
 /// Part of the path of the request that crashes upstreams.
@@ -96,3 +96,106 @@
     })
     .await;
 }
+
+/// Crashes an upstream through each host.
+async fn crash_through(nodes: &[Node]) {
+    for (number, node) in nodes.iter().enumerate() {
+        let call = node.call(Method::POST, "/once/crashing", &format!("first-{number}"));
+        call.send().await.expect("an answer");
+        tokio::time::sleep(CLOSE_TIME).await;
+    }
+}
+
+/// Waits until a host refuses the request.
+async fn until_refused(node: &Node) {
+    until("the request is refused", || async {
+        let call = node.call(Method::POST, "/once/crashing", "again");
+        let answer = call.send().await.expect("an answer");
+        answer.status() == 503 && answer.headers().contains_key("retry-after")
+    })
+    .await;
+}
+
+/// Guards against a restarted host that sends the request on again, because only the others know
+/// of the crashes.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_is_refused_by_a_host_that_was_started_later() {
+    let world = start(6).await;
+    let nodes = [Node::ready("a", &world).await, Node::ready("b", &world).await];
+    crash_through(&nodes).await;
+    crash_through(&nodes[..1]).await;
+    until_refused(&nodes[1]).await;
+    for node in nodes {
+        node.stop().join().expect("the host stops");
+    }
+    let before = crashes(&world, "single");
+    let node = Node::ready("a", &world).await;
+    until_refused(&node).await;
+    assert_eq!(crashes(&world, "single"), before);
+}
+
+/// Guards against reports that are lost because the store is away while upstreams crash.
+#[tokio::test(flavor = "multi_thread")]
+async fn crashes_are_reported_after_an_outage_of_the_store() {
+    let world = start(6).await;
+    let nodes = [
+        Node::ready("a", &world).await,
+        Node::ready("b", &world).await,
+        Node::ready("c", &world).await,
+    ];
+    world.kv.set_fault(StoreFault::Losing);
+    crash_through(&nodes).await;
+    tokio::time::sleep(REACTION_TIME).await;
+    world.kv.set_fault(StoreFault::None);
+    until("all crashes are in the store", || async { world.kv.keys("crashes/").len() == 3 }).await;
+    let before = crashes(&world, "single");
+    tokio::time::sleep(REACTION_TIME).await;
+    for node in &nodes {
+        until_refused(node).await;
+    }
+    assert_eq!(crashes(&world, "single"), before);
+}
+
+/// Guards against refusing a query because it was on the upstreams of a failure domain when another
+/// request crashed them all.
+#[tokio::test(flavor = "multi_thread")]
+async fn query_on_crashed_upstreams_is_answered_when_it_comes_again() {
+    let world = start(2).await;
+    let node = Node::ready("a", &world).await;
+    let local = world.shards.iter().filter(|(id, _)| id.ends_with("@perth-1"));
+    local.for_each(|(_, shard)| shard.set_service_time(CLOSE_TIME));
+    let all = ["/all/well", "/all/crashing"];
+    let calls = all.map(|path| tokio::spawn(node.call(Method::GET, path, path).send()));
+    for call in calls {
+        call.await.expect("the task ends").expect("an answer");
+    }
+    assert_eq!(crashes(&world, "shard-0"), 1);
+    for number in 0..3 {
+        let answer = node.get("/all/well", &format!("again-{number}")).await;
+        assert_eq!(answer.status(), 200);
+        assert_eq!(answer.headers()["missing-parts"], "0");
+    }
+}
+
+/// Guards against refusing a request because answers to it were lost at upstreams that live on.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_answers_of_live_upstreams_do_not_count_as_crashes() {
+    let world = World::start().await;
+    let node = Node::ready("a", &world).await;
+    // Requests that run at the same time leave several open connections to the nearest upstream.
+    world.of("single").iter().for_each(|shard| shard.set_service_time(CLOSE_TIME));
+    let others = (0..8).map(|number| {
+        tokio::spawn(node.call(Method::GET, "/one/x", &format!("other-{number}")).send())
+    });
+    for other in others.collect::<Vec<_>>() {
+        other.await.expect("the task ends").expect("an answer");
+    }
+    world.of("single").iter().for_each(|shard| shard.set_fault(Fault::Lose));
+    let lost = node.call(Method::POST, "/once/x", "lost").send().await.expect("an answer");
+    assert_eq!((lost.status().as_u16(), world.ran("lost")), (502, 1));
+    tokio::time::sleep(REACTION_TIME).await;
+    assert!(world.kv.keys("crashes/").is_empty());
+    world.of("single").iter().for_each(|shard| shard.set_fault(Fault::None));
+    let call = node.call(Method::POST, "/once/x", "answered");
+    assert_eq!(call.send().await.expect("an answer").status(), 200);
+}
--- /dev/null
+++ b/crates/quarantine/tests/quarantine.rs
@@ -0,0 +1,113 @@
+//! Crashes, answers and expiry of requests in quarantine.
+
+use std::time::{Duration, Instant};
+
+use quarantine::{Quarantine, STRIKE_TTL, Strike, fingerprint};
+
+const REQUEST: u64 = 7;
+
+fn crash(quarantine: &mut Quarantine, now: Instant, attempts: std::ops::Range<u64>) {
+    attempts.for_each(|attempt| assert!(quarantine.record_crash(now, REQUEST, attempt)));
+}
+
+#[test]
+fn request_is_refused_after_three_crashes_at_any_hosts() {
+    let now = Instant::now();
+    let mut quarantine = Quarantine::default();
+    assert!(!quarantine.is_suspect(now, REQUEST));
+    crash(&mut quarantine, now, 0..1);
+    assert!(quarantine.is_suspect(now, REQUEST));
+    for attempt in [1, 2] {
+        assert_eq!(quarantine.refused_until(now, REQUEST), None);
+        quarantine.learn(now, Strike { request: REQUEST, attempt, crashes: 1 });
+    }
+    assert_eq!(quarantine.refused_until(now, REQUEST), Some(now + STRIKE_TTL));
+    assert_eq!(quarantine.refused_until(now, REQUEST + 1), None);
+}
+
+/// Guards against refusing the queries that were on all upstreams of a failure domain when it was
+/// lost.
+#[test]
+fn one_attempt_of_a_caller_does_not_suffice() {
+    let now = Instant::now();
+    let mut quarantine = Quarantine::default();
+    let counted = (0..20).filter(|_| quarantine.record_crash(now, REQUEST, 1)).count();
+    assert_eq!(counted, 2);
+    quarantine.learn(now, Strike { request: REQUEST, attempt: 1, crashes: 20 });
+    assert_eq!(quarantine.refused_until(now, REQUEST), None);
+    crash(&mut quarantine, now, 2..3);
+    assert!(quarantine.refused_until(now, REQUEST).is_some());
+}
+
+/// Guards against refusing a popular request that was on several upstreams when they crashed for
+/// another reason.
+#[test]
+fn answer_refutes_the_crashes_known_by_then() {
+    let now = Instant::now();
+    let mut quarantine = Quarantine::default();
+    crash(&mut quarantine, now, 0..2);
+    quarantine.record_answer(REQUEST);
+    assert!(!quarantine.is_suspect(now, REQUEST));
+    // The report of a refuted crash comes back from the store.
+    quarantine.learn(now, Strike { request: REQUEST, attempt: 0, crashes: 1 });
+    assert!(!quarantine.is_suspect(now, REQUEST));
+    crash(&mut quarantine, now, 2..4);
+    assert_eq!(quarantine.refused_until(now, REQUEST), None);
+    crash(&mut quarantine, now, 4..5);
+    assert!(quarantine.refused_until(now, REQUEST).is_some());
+}
+
+#[test]
+fn crash_of_a_live_upstream_is_withdrawn() {
+    let now = Instant::now();
+    let mut quarantine = Quarantine::default();
+    crash(&mut quarantine, now, 0..1);
+    crash(&mut quarantine, now, 0..1);
+    quarantine.retract_crash(REQUEST, 0);
+    let strike = Strike { request: REQUEST, attempt: 0, crashes: 1 };
+    assert_eq!(quarantine.strike(now, REQUEST, 0), Some(strike));
+    quarantine.retract_crash(REQUEST, 0);
+    quarantine.retract_crash(REQUEST, 0);
+    assert_eq!(quarantine.strike(now, REQUEST, 0), None);
+    assert!(!quarantine.is_suspect(now, REQUEST));
+}
+
+#[test]
+fn crashes_expire() {
+    let now = Instant::now();
+    let later = now + Duration::from_secs(60);
+    let mut quarantine = Quarantine::default();
+    crash(&mut quarantine, now, 0..1);
+    crash(&mut quarantine, later, 1..3);
+    // With the oldest of three crashes, the request is no longer refused.
+    assert_eq!(quarantine.refused_until(later, REQUEST), Some(now + STRIKE_TTL));
+    assert_eq!(quarantine.refused_until(now + STRIKE_TTL, REQUEST), None);
+    assert!(quarantine.is_suspect(now + STRIKE_TTL, REQUEST));
+    assert!(!quarantine.is_suspect(later + STRIKE_TTL, REQUEST));
+}
+
+/// Guards against memory that grows with the requests on the upstreams of a lost failure domain.
+#[test]
+fn oldest_requests_make_room_for_others() {
+    let start = Instant::now();
+    let mut quarantine = Quarantine::default();
+    let at = |number: u64| start + Duration::from_millis(number);
+    for request in 0..5_000 {
+        quarantine.record_crash(at(request), request, 1);
+    }
+    let kept = (0..5_000).filter(|request| quarantine.is_suspect(at(5_000), *request)).count();
+    assert_eq!(kept, 1_024);
+    assert!(quarantine.is_suspect(at(5_000), 4_999));
+}
+
+#[test]
+fn fingerprint_depends_on_every_field_and_its_boundaries() {
+    let base = fingerprint("GET", "host", "/a", b"b");
+    let others = [
+        fingerprint("PUT", "host", "/a", b"b"),
+        fingerprint("GET", "hos", "t/a", b"b"),
+        fingerprint("GET", "host", "/ab", b""),
+        fingerprint("GET", "host", "/a", b"c"),
+    ];
+    assert!(others.iter().all(|other| *other != base));
+}
--- a/crates/table/src/resource.rs
+++ b/crates/table/src/resource.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use quarantine::Strike;
+
 use crate::Domain;
 use crate::service::Upstream;
 use crate::table::Table;
@@ -35,6 +37,8 @@
     DomainEvacuated(Domain),
     /// One of the hosts that run `pistachio-node`.
     Host(Arc<Host>),
+    /// A report that upstreams crashed during a request.
+    Strike(Strike),
     /// An entry of another kind, or one that cannot be decoded.
     Unusable,
 }
--- a/crates/table/src/view.rs
+++ b/crates/table/src/view.rs
@@ -3,6 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+use quarantine::Strike;
+
 use crate::resource::{Host, Resource};
 use crate::service::Upstream;
 use crate::table::Table;
@@ -19,6 +21,8 @@
     pub evacuated: BTreeSet<Domain>,
     /// The hosts that run `pistachio-node`, by name.
     pub hosts: BTreeMap<Box<str>, Arc<Host>>,
+    /// Crashes of upstreams during requests, as the hosts have reported them.
+    pub strikes: Vec<Strike>,
 }
 
 impl View {
@@ -37,6 +41,7 @@
                 Resource::Host(host) => {
                     view.hosts.insert(host.name.clone(), Arc::clone(host));
                 }
+                Resource::Strike(strike) => view.strikes.push(*strike),
                 Resource::Unusable => {}
             }
         }
