--- a/crates/soak/src/environment.rs
+++ b/crates/soak/src/environment.rs
@@ -4,9 +4,7 @@
 use std::time::{Duration, Instant};
 
 use serde_json::json;
-use standin::{Kv, Shard};
-
-use crate::proxy::Proxy;
+use standin::{Kv, Proxy, Shard};
 
 /// Value of the `host` header on which all routes match.
 pub const ROUTE_HOST: &str = "search.example";
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -4,9 +4,7 @@
 
 use rand::RngExt;
 use rand::rngs::StdRng;
-use standin::{Fault, StoreFault};
-
-use crate::proxy::Impairment;
+use standin::{Fault, Impairment, StoreFault};
 
 /// Kind of an injected fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/soak/src/host.rs
+++ b/crates/soak/src/host.rs
@@ -9,9 +9,7 @@
 
 use rustix::process::{Pid, Signal, kill_process};
 
-use standin::free_address;
-
-use crate::proxy::Proxy;
+use standin::{Proxy, free_address};
 
 /// Time for which a host may finish its requests after SIGTERM.
 pub const SHUTDOWN_GRACE: Duration = Duration::from_secs(3);
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -10,7 +10,6 @@
 mod environment;
 mod faults;
 mod host;
-mod proxy;
 mod report;
 mod run;
 
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -11,7 +11,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use rustix::process::Signal;
-use standin::{Fault, StoreFault};
+use standin::{Fault, Impairment, StoreFault};
 
 use crate::client::{Client, Exchange, Route};
 use crate::environment::{
@@ -19,7 +19,6 @@
 };
 use crate::faults::{Injection, Kind, draw};
 use crate::host::{Host, SHUTDOWN_GRACE};
-use crate::proxy::Impairment;
 use crate::report::{Report, Violation};
 
 /// Time for which the store, a host and the connections between them must have been undisturbed
--- a/crates/standin/src/kv.rs
+++ b/crates/standin/src/kv.rs
@@ -114,6 +114,11 @@
         self.shared.notify_watchers();
     }
 
+    /// Returns the value of a key, if it exists.
+    pub fn get(&self, key: &str) -> Option<Box<[u8]>> {
+        self.shared.state().items.get(key).map(|item| item.value.clone())
+    }
+
     /// Returns the keys that start with a prefix, in lexical order.
     pub fn keys(&self, prefix: &str) -> Vec<Box<str>> {
         let state = self.shared.state();
--- a/crates/soak/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -15,8 +15,8 @@
 
 /// What a proxy does to its connections.
 ///
-/// A connection on which [`OneWay`](Self::OneWay) or [`Stall`](Self::Stall) has held back data
-/// stays stalled in that direction until the next [`Reset`](Self::Reset).
+/// A connection on which [`OneWay`](Self::OneWay), [`Stall`](Self::Stall) or [`Cut`](Self::Cut) has
+/// held back data stays stalled in that direction until the next [`Reset`](Self::Reset).
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Impairment {
     /// Forwards all data at once.
@@ -30,6 +30,8 @@
     OneWay,
     /// Forwards no data on connections that are open now; new connections work.
     Stall,
+    /// Refuses new connections and forwards no data on open ones.
+    Cut,
 }
 
 /// A proxy in front of one address.
@@ -65,7 +67,24 @@
         self.impairment.send_modify(|state| *state = (impairment, state.1 + 1));
     }
 
-    async fn serve(self, listener: TcpListener, target: SocketAddr) {
+    async fn serve(self, mut listener: TcpListener, target: SocketAddr) {
+        let mut impairment = self.impairment.subscribe();
+        loop {
+            tokio::select! {
+                _ = impairment.wait_for(|(impairment, _)| *impairment == Impairment::Cut) => {}
+                () = self.accept(&listener, target) => return,
+            }
+            drop(listener);
+            // The sender lives as long as `self`, so this cannot fail.
+            let _ = impairment.wait_for(|(impairment, _)| *impairment != Impairment::Cut).await;
+            match TcpListener::bind(self.address).await {
+                Ok(bound) => listener = bound,
+                Err(error) => panic!("cannot bind {} again: {error}", self.address),
+            }
+        }
+    }
+
+    async fn accept(&self, listener: &TcpListener, target: SocketAddr) {
         while let Ok((client, _)) = listener.accept().await {
             let impairment = self.impairment.subscribe();
             if impairment.borrow().0 == Impairment::Reset {
@@ -112,6 +131,7 @@
             Impairment::Delay(delay) => tokio::time::sleep(delay).await,
             Impairment::Stall if since > opened => std::future::pending().await,
             Impairment::OneWay if to_client => std::future::pending().await,
+            Impairment::Cut => std::future::pending().await,
             _ => {}
         }
         if to.write_all(&buffer[..count]).await.is_err() {
