Take a broken connection for a crash only if the upstream refuses another

Cause: the crash counted at once, and a host without another open connection took the break for a crash.

--- a/crates/node/src/crashes.rs
+++ b/crates/node/src/crashes.rs
@@ -1,33 +1,42 @@
 //! Crashes of upstreams during requests of this host, and the requests that cause them.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use quarantine::{Fingerprint, Quarantine, Strike, attempt_id};
+use quarantine::{AttemptId, Fingerprint, Quarantine, Strike, attempt_id};
 use table::View;
 use tokio::sync::mpsc;
 
 use crate::attempt::Outgoing;
 use crate::endpoint::Endpoint;
+use crate::exchange::check_connection;
 use crate::metrics::Metrics;
 
-/// Delay after which a crash is reported to the other hosts, unless the upstream turns out to be
-/// alive or another one answers the request. It is shorter than the restart of an upstream.
-const CONFIRMATION_DELAY: Duration = Duration::from_millis(250);
+/// Time after a broken connection within which the others to a crashed upstream are closed, too.
+const CLOSE_DELAY: Duration = Duration::from_millis(20);
+
+/// Delay after which a crash is reported to the other hosts, unless another upstream answers the
+/// request meanwhile.
+const REPORT_DELAY: Duration = Duration::from_millis(230);
+
+/// Maximum number of checks at a time, each of which may open a connection.
+const MAX_CHECKS: usize = 64;
 
 /// The requests in quarantine, as the traffic thread keeps them.
 pub struct Crashes {
     quarantine: RefCell<Quarantine>,
     reports: mpsc::Sender<Strike>,
     metrics: Arc<Metrics>,
+    /// Number of checks that have not ended.
+    checks: Cell<usize>,
 }
 
 impl Crashes {
     /// Creates an empty quarantine, whose confirmed crashes are sent to `reports`.
     pub fn new(reports: mpsc::Sender<Strike>, metrics: Arc<Metrics>) -> Rc<Self> {
-        Rc::new(Self { quarantine: RefCell::default(), reports, metrics })
+        Rc::new(Self { quarantine: RefCell::default(), reports, metrics, checks: Cell::new(0) })
     }
 
     /// Adds the crashes that all hosts have reported.
@@ -36,22 +45,26 @@
         view.strikes.iter().for_each(|strike| quarantine.learn(now, *strike));
     }
 
-    /// Records that a connection to an upstream broke during an attempt.
-    pub fn record_broken(
+    /// Finds out whether an upstream has crashed, after the connection to it broke during an attempt.
+    pub fn check_broken(
         self: &Rc<Self>,
         now: Instant,
         outgoing: &Outgoing,
         endpoint: &Rc<Endpoint>,
     ) {
-        let strike = Strike {
-            request: outgoing.fingerprint,
-            attempt: attempt_id(outgoing.call.id.as_bytes()),
-            crashes: 1,
-        };
-        if self.quarantine.borrow_mut().record_crash(now, strike.request, strike.attempt) {
-            let confirmation = Rc::clone(self).confirm(now, strike, Rc::clone(endpoint));
-            tokio::task::spawn_local(confirmation);
+        if self.checks.get() >= MAX_CHECKS {
+            log::debug!(upstream = endpoint.upstream.id; "too many checks for crashed upstreams");
+            return;
         }
+        let (request, attempt) = (outgoing.fingerprint, attempt_id(outgoing.call.id.as_bytes()));
+        self.quarantine.borrow_mut().start_check(now, request, attempt);
+        self.checks.set(self.checks.get() + 1);
+        let (this, endpoint) = (Rc::clone(self), Rc::clone(endpoint));
+        tokio::task::spawn_local(async move {
+            this.check(now, request, attempt, &endpoint).await;
+            this.quarantine.borrow_mut().end_check(request, attempt);
+            this.checks.set(this.checks.get() - 1);
+        });
     }
 
     /// Records that an upstream has answered a request.
@@ -71,14 +84,26 @@
         Some(until)
     }
 
-    /// Reports a crash at `crashed_at` unless the upstream is alive or the request was answered.
-    async fn confirm(self: Rc<Self>, crashed_at: Instant, strike: Strike, endpoint: Rc<Endpoint>) {
-        tokio::time::sleep(CONFIRMATION_DELAY).await;
-        let Strike { request, attempt, .. } = strike;
-        if endpoint.connections.is_alive_since(crashed_at) {
-            self.quarantine.borrow_mut().retract_crash(request, attempt);
+    /// Records a crash at `broken_at` unless the upstream is alive, and reports it unless the request
+    /// is answered meanwhile.
+    async fn check(
+        &self,
+        broken_at: Instant,
+        request: Fingerprint,
+        attempt: AttemptId,
+        endpoint: &Endpoint,
+    ) {
+        tokio::time::sleep(CLOSE_DELAY).await;
+        // A crashed upstream refuses connections until it is restarted.
+        if endpoint.connections.is_alive_since(broken_at)
+            || check_connection(endpoint, &self.metrics).await
+        {
+            return;
+        }
+        if !self.quarantine.borrow_mut().record_crash(Instant::now(), request, attempt) {
             return;
         }
+        tokio::time::sleep(REPORT_DELAY).await;
         let Some(strike) = self.quarantine.borrow().strike(Instant::now(), request, attempt) else {
             return;
         };
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -131,12 +131,19 @@
 
 /// Opens a connection in advance, so that the first request does not wait for one.
 pub async fn preconnect(endpoint: &Endpoint, metrics: &Metrics) {
-    if !endpoint.has_room() {
-        return;
+    if endpoint.has_room() {
+        check_connection(endpoint, metrics).await;
     }
-    if let Some(pooled) = connect(endpoint, metrics).await {
+}
+
+/// Opens a connection, also beyond the maximum, and returns whether that succeeded.
+pub async fn check_connection(endpoint: &Endpoint, metrics: &Metrics) -> bool {
+    let pooled = connect(endpoint, metrics).await;
+    let connected = pooled.is_some();
+    if let Some(pooled) = pooled {
         pooled.checkin(Instant::now(), None);
     }
+    connected
 }
 
 /// Reads the rest of an answer.
--- a/crates/node/tests/crash.rs
+++ b/crates/node/tests/crash.rs
@@ -182,17 +182,12 @@
 async fn lost_answers_of_live_upstreams_do_not_count_as_crashes() {
     let world = World::start().await;
     let node = Node::ready("a", &world).await;
-    // Requests that run at the same time leave several open connections to the nearest upstream.
-    world.of("single").iter().for_each(|shard| shard.set_service_time(CLOSE_TIME));
-    let others = (0..8).map(|number| {
-        tokio::spawn(node.call(Method::GET, "/one/x", &format!("other-{number}")).send())
-    });
-    for other in others.collect::<Vec<_>>() {
-        other.await.expect("the task ends").expect("an answer");
-    }
     world.of("single").iter().for_each(|shard| shard.set_fault(Fault::Lose));
-    let lost = node.call(Method::POST, "/once/x", "lost").send().await.expect("an answer");
-    assert_eq!((lost.status().as_u16(), world.ran("lost")), (502, 1));
+    for number in 0..2 * MAX_CRASHES {
+        let id = format!("lost-{number}");
+        let answer = node.call(Method::POST, "/once/x", &id).send().await.expect("an answer");
+        assert_eq!((answer.status().as_u16(), world.ran(&id)), (502, 1));
+    }
     tokio::time::sleep(REACTION_TIME).await;
     assert!(world.kv.keys("crashes/").is_empty());
     world.of("single").iter().for_each(|shard| shard.set_fault(Fault::None));
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -30,7 +30,7 @@
 
 impl Record {
     fn counts(&self, now: Instant) -> bool {
-        !self.refuted && now < self.expires
+        self.crashes > 0 && !self.refuted && now < self.expires
     }
 }
 
@@ -44,27 +44,32 @@
 }
 
 impl Quarantine {
-    /// Records that an upstream may have crashed during an attempt of a caller. Returns whether the
-    /// crash counts, which it does not beyond [`MAX_CRASHES_PER_ATTEMPT`].
-    pub fn record_crash(&mut self, now: Instant, request: Fingerprint, attempt: AttemptId) -> bool {
-        let record = self.record(now, request, attempt);
-        let counts = record.crashes < MAX_CRASHES_PER_ATTEMPT;
-        record.crashes += u32::from(counts);
-        counts
+    /// Records that an upstream may have crashed during an attempt of a caller. An answer from now on
+    /// refutes a crash that is recorded later. [`end_check`](Self::end_check) must follow.
+    pub fn start_check(&mut self, now: Instant, request: Fingerprint, attempt: AttemptId) {
+        self.record(now, request, attempt);
     }
 
-    /// Withdraws one crash, because the upstream turned out to be alive.
-    pub fn retract_crash(&mut self, request: Fingerprint, attempt: AttemptId) {
+    /// Forgets a check that has found no crash.
+    pub fn end_check(&mut self, request: Fingerprint, attempt: AttemptId) {
         let Some(attempts) = self.requests.get_mut(&request) else { return };
-        if let Some(record) = attempts.get_mut(&attempt) {
-            record.crashes = record.crashes.saturating_sub(1);
+        if attempts.get(&attempt).is_some_and(|record| record.crashes == 0) {
+            attempts.remove(&attempt);
         }
-        attempts.retain(|_, record| record.crashes > 0);
         if attempts.is_empty() {
             self.requests.remove(&request);
         }
     }
 
+    /// Records that an upstream has crashed during an attempt of a caller. Returns whether the
+    /// crash counts, which it does not beyond [`MAX_CRASHES_PER_ATTEMPT`].
+    pub fn record_crash(&mut self, now: Instant, request: Fingerprint, attempt: AttemptId) -> bool {
+        let record = self.record(now, request, attempt);
+        let counts = record.crashes < MAX_CRASHES_PER_ATTEMPT;
+        record.crashes += u32::from(counts);
+        counts
+    }
+
     /// Records that an upstream has answered the request.
     pub fn record_answer(&mut self, request: Fingerprint) {
         let attempts = self.requests.get_mut(&request).into_iter().flatten();
@@ -77,7 +82,7 @@
         record.crashes = record.crashes.max(strike.crashes.min(MAX_CRASHES_PER_ATTEMPT));
     }
 
-    /// Returns the strike of an attempt, unless it was withdrawn or refuted.
+    /// Returns the strike of an attempt, unless it was refuted or has expired.
     pub fn strike(&self, now: Instant, request: Fingerprint, attempt: AttemptId) -> Option<Strike> {
         let record = self.requests.get(&request)?.get(&attempt)?;
         record.counts(now).then_some(Strike { request, attempt, crashes: record.crashes })
--- a/crates/quarantine/tests/quarantine.rs
+++ b/crates/quarantine/tests/quarantine.rs
@@ -57,19 +57,30 @@
     assert!(quarantine.refused_until(now, REQUEST).is_some());
 }
 
+/// Guards against suspecting a request whose retry was answered before the crash was certain.
 #[test]
-fn crash_of_a_live_upstream_is_withdrawn() {
+fn answer_during_a_check_refutes_the_crash() {
     let now = Instant::now();
     let mut quarantine = Quarantine::default();
-    crash(&mut quarantine, now, 0..1);
-    crash(&mut quarantine, now, 0..1);
-    quarantine.retract_crash(REQUEST, 0);
-    let strike = Strike { request: REQUEST, attempt: 0, crashes: 1 };
-    assert_eq!(quarantine.strike(now, REQUEST, 0), Some(strike));
-    quarantine.retract_crash(REQUEST, 0);
-    quarantine.retract_crash(REQUEST, 0);
-    assert_eq!(quarantine.strike(now, REQUEST, 0), None);
+    quarantine.start_check(now, REQUEST, 1);
     assert!(!quarantine.is_suspect(now, REQUEST));
+    quarantine.record_answer(REQUEST);
+    crash(&mut quarantine, now, 1..2);
+    quarantine.end_check(REQUEST, 1);
+    assert!(!quarantine.is_suspect(now, REQUEST));
+    assert_eq!(quarantine.strike(now, REQUEST, 1), None);
+}
+
+#[test]
+fn check_without_a_crash_is_forgotten() {
+    let now = Instant::now();
+    let mut quarantine = Quarantine::default();
+    quarantine.start_check(now, REQUEST, 1);
+    quarantine.end_check(REQUEST, 1);
+    quarantine.record_answer(REQUEST);
+    crash(&mut quarantine, now, 1..2);
+    let strike = Strike { request: REQUEST, attempt: 1, crashes: 1 };
+    assert_eq!(quarantine.strike(now, REQUEST, 1), Some(strike));
 }
 
 #[test]
