Forward requests of a host that has lost all upstreams, and stop advertising it

Cause: a host judged each upstream by itself and offered itself to callers throughout. Ruled out: old answers of the directory (the entry never changed). Now a host that gets no answer tries connections, marks its entry when none opens, and forwards to others.

--- a/crates/feed/src/registration.rs
+++ b/crates/feed/src/registration.rs
@@ -73,6 +73,11 @@
         self.written_at = Some(now);
     }
 
+    /// Records that the entry has changed, so that it is written again.
+    pub fn changed(&mut self) {
+        self.written_at = None;
+    }
+
     /// Records that the lease was renewed.
     pub fn renewed(&mut self, now: Instant) {
         self.renew_at = Some(now + self.ttl / RENEWAL_TTL_DIVISOR * 2);
--- a/crates/feed/tests/feed.rs
+++ b/crates/feed/tests/feed.rs
@@ -30,6 +30,7 @@
         peer: address,
         relay: None,
         cores: 1.0,
+        isolated: false,
     };
     Resource::Host(Arc::new(host))
 }
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -196,6 +196,7 @@
     if endpoint.count_limited_request() {
         metrics.limited_attempts.get_or_create(&origin).inc();
     }
+    endpoint.context.isolation.borrow_mut().sent(sent, &endpoint.upstream.id);
     let remaining = outgoing.remaining(sent);
     let headers = platform::upstream_headers(&outgoing.call, &endpoint.upstream.id, remaining);
     let request = outgoing.request(headers);
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -82,6 +82,7 @@
     shared: Shared,
     own: Host,
     own_key: Box<str>,
+    isolated: watch::Receiver<bool>,
     mirror: RefCell<Mirror>,
     sources: RefCell<Sources>,
     freshness: RefCell<Freshness>,
@@ -91,17 +92,19 @@
 }
 
 impl Control {
-    /// Runs the thread until the process ends. Writes the received reports to the store.
+    /// Runs the thread until the process ends. Writes the received reports to the store, and tells
+    /// callers and other hosts while the host is isolated.
     pub async fn run(
         shared: Shared,
         store: platform::Client,
         listeners: Listeners,
         view: watch::Sender<Arc<View>>,
         reports: mpsc::Receiver<Strike>,
+        isolated: watch::Receiver<bool>,
     ) {
         let reporter = Reporter::new(store.clone(), Arc::clone(&shared.metrics));
         spawn_local(reporter.run(reports));
-        let control = Rc::new(Self::new(shared, view));
+        let control = Rc::new(Self::new(shared, view, isolated));
         for listener in [listeners.directory, listeners.readiness] {
             let this = Rc::clone(&control);
             spawn_local(serve(listener, http_builder(), move |request| {
@@ -119,7 +122,11 @@
         control.follow(store).await;
     }
 
-    fn new(shared: Shared, view: watch::Sender<Arc<View>>) -> Self {
+    fn new(
+        shared: Shared,
+        view: watch::Sender<Arc<View>>,
+        isolated: watch::Receiver<bool>,
+    ) -> Self {
         let settings = &shared.settings;
         let own = Host {
             name: settings.host.clone(),
@@ -128,6 +135,7 @@
             peer: settings.peer,
             relay: Some(settings.relay),
             cores: settings.cores,
+            isolated: false,
         };
         let peer = Peer { name: own.name.clone(), domain: own.domain.clone(), address: own.peer };
         let sources = Sources::new(peer, settings.seeds.clone());
@@ -135,6 +143,7 @@
         Self {
             own_key: platform::host_key(&own.name),
             own,
+            isolated,
             mirror: RefCell::new(Mirror::new(platform::decode)),
             sources: RefCell::new(sources),
             freshness: RefCell::new(Freshness::new(fresh_for)),
@@ -320,12 +329,20 @@
     async fn register(self: Rc<Self>, store: platform::Client) {
         let mut stop = self.shared.stop.clone();
         let mut registration = Registration::new(LEASE_TTL);
-        let value = platform::host_value(&self.own);
+        let mut isolated = self.isolated.clone();
+        let mut value = platform::host_value(&self.own_host());
         loop {
+            let current = platform::host_value(&self.own_host());
+            if current != value {
+                registration.changed();
+                value = current;
+            }
             let visible = self.mirror.borrow().contains(&self.own_key);
             let action = registration.next_action(Instant::now(), visible);
+            let is_waiting = matches!(action, Action::Wait(_));
             tokio::select! {
                 () = stop.wait() => break,
+                Ok(()) = isolated.changed(), if is_waiting => {}
                 () = self.perform(&store, &mut registration, action, &value) => {}
             }
         }
@@ -399,11 +416,16 @@
         if self.shared.stop.is_set() {
             view.hosts.remove(&self.own.name);
         } else {
-            view.hosts.insert(self.own.name.clone(), Arc::new(self.own.clone()));
+            view.hosts.insert(self.own.name.clone(), Arc::new(self.own_host()));
         }
         directory::advertised_hosts(&view, domain).iter().map(|host| host.front).collect()
     }
 
+    /// Returns the host's own entry.
+    fn own_host(&self) -> Host {
+        Host { isolated: *self.isolated.borrow(), ..self.own.clone() }
+    }
+
     fn is_ready(&self) -> bool {
         !self.shared.stop.is_set() && self.view.borrow().table.is_some()
     }
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -27,11 +27,11 @@
 /// left out, even in the caller's own domain, where all callers of the domain would overload them.
 /// If fewer than three of the remaining hosts are in the caller's domain, the remaining hosts of
 /// all domains are returned, and if these are too few as well, all hosts. Hosts of evacuated
-/// domains are returned only if there are no others.
+/// domains, and after them isolated hosts, are returned only if there are no others.
 pub fn advertised_hosts(view: &View, domain: Option<&str>) -> Vec<Arc<Host>> {
-    let hosts: Vec<_> =
-        view.hosts.values().filter(|host| !view.evacuated.contains(&host.domain)).collect();
-    let hosts = if hosts.is_empty() { view.hosts.values().collect() } else { hosts };
+    let all = view.hosts.values();
+    let hosts = retain_if_any(all.collect(), |host| !host.isolated);
+    let hosts = retain_if_any(hosts, |host| !view.evacuated.contains(&host.domain));
     let coverage = coverage(view);
     let coverage_of = |domain: &str| coverage.get(domain).copied().unwrap_or(0.0);
     let best = hosts.iter().map(|host| coverage_of(&host.domain)).fold(0.0, f64::max);
@@ -49,6 +49,12 @@
     chosen.into_iter().take(MAX_ADVERTISED).cloned().collect()
 }
 
+/// Returns the hosts that match `condition`, or all if none does.
+fn retain_if_any(hosts: Vec<&Arc<Host>>, condition: impl Fn(&Host) -> bool) -> Vec<&Arc<Host>> {
+    let matching: Vec<_> = hosts.iter().copied().filter(|host| condition(host)).collect();
+    if matching.is_empty() { hosts } else { matching }
+}
+
 /// Returns the hosts whose processor share is at least [`MIN_CORES_RATIO`] of the largest.
 fn strongest<'a>(hosts: &[&'a Arc<Host>]) -> Vec<&'a Arc<Host>> {
     let max = hosts.iter().map(|host| host.cores).fold(0.0, f64::max);
--- a/crates/node/src/endpoint.rs
+++ b/crates/node/src/endpoint.rs
@@ -5,9 +5,10 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use pick::{Hosts, Replica};
+use pick::{Hosts, Isolation, Replica};
 use platform::Answer;
 use table::Upstream;
+use tokio::sync::watch;
 
 use crate::buffers::Buffers;
 use crate::crashes::Crashes;
@@ -21,6 +22,30 @@
     pub buffers: Rc<Buffers>,
     /// Requests that crash upstreams.
     pub crashes: Rc<Crashes>,
+    /// Whether the host is cut off from all upstreams.
+    pub isolation: RefCell<Isolation>,
+    /// Publishes changes of the isolation.
+    pub isolated: watch::Sender<bool>,
+}
+
+impl Context {
+    /// Records an answer of an upstream, which ends the isolation of the host.
+    pub fn record_answer(&self, now: Instant) {
+        if self.isolation.borrow_mut().answered(now) {
+            self.publish_isolation();
+        }
+    }
+
+    /// Publishes a change of the isolation.
+    pub fn publish_isolation(&self) {
+        let isolated = self.isolation.borrow().is_isolated();
+        if isolated {
+            log::warn!("host cannot reach any upstream; forwarding requests to other hosts");
+        } else {
+            log::info!("host reaches upstreams again");
+        }
+        self.isolated.send_replace(isolated);
+    }
 }
 
 /// An upstream with its connections and statistics.
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -1,5 +1,6 @@
 //! One HTTP exchange with an upstream on one connection.
 
+use std::rc::Rc;
 use std::time::Instant;
 
 use bytes::Bytes;
@@ -9,7 +10,7 @@
 use hyper::{Request, Response, StatusCode};
 use platform::Answer;
 
-use crate::buffers::Buffer;
+use crate::buffers::{Buffer, Buffers};
 use crate::endpoint::Endpoint;
 use crate::metrics::Metrics;
 use crate::pool::PooledConnection;
@@ -81,10 +82,7 @@
     }
 }
 
-/// Sends a request on an idle or a new connection and reads the complete answer.
-///
-/// An answer that states a request id other than `id` is not used. The connection is closed when
-/// the exchange fails, the returned future is dropped or the upstream asks for it.
+/// Sends a request to an upstream, on an idle or a new connection, and reads the complete answer.
 pub async fn exchange(
     endpoint: &Endpoint,
     request: Request<Full<Bytes>>,
@@ -92,13 +90,34 @@
     metrics: &Metrics,
 ) -> Completion {
     let sent = Instant::now();
-    let mut pooled = match endpoint.connections.checkout(sent) {
+    let pooled = match endpoint.connections.checkout(sent) {
         Some(pooled) => pooled,
         None => match connect(endpoint, metrics).await {
             Some(pooled) => pooled,
             None => return Completion::Unsent,
         },
     };
+    transfer(pooled, request, id, &endpoint.context.buffers, |status, answer| {
+        endpoint.context.record_answer(Instant::now());
+        if status != StatusCode::MISDIRECTED_REQUEST {
+            endpoint.record_answer(Instant::now(), sent, answer);
+        }
+    })
+    .await
+}
+
+/// Sends a request on a connection and reads the complete answer; `on_head` gets its status and
+/// headers.
+///
+/// An answer that states a request id other than `id` is not used. The connection is closed when
+/// the exchange fails, the returned future is dropped or the peer asks for it.
+pub async fn transfer(
+    mut pooled: PooledConnection,
+    request: Request<Full<Bytes>>,
+    id: &HeaderValue,
+    buffers: &Rc<Buffers>,
+    on_head: impl FnOnce(StatusCode, &Answer),
+) -> Completion {
     let response = match pooled.connection().send(request).await {
         Ok(response) => response,
         Err(mut error) => {
@@ -112,10 +131,8 @@
     if !answer.matches_request {
         return Completion::Unknown { cause: "answer to another request" };
     }
-    if response.status() != StatusCode::MISDIRECTED_REQUEST {
-        endpoint.record_answer(Instant::now(), sent, &answer);
-    }
-    let buffer = endpoint.context.buffers.buffer();
+    on_head(response.status(), &answer);
+    let buffer = buffers.buffer();
     let reply = match pooled.connection().drive(collect(response, answer, buffer)).await {
         Ok(reply) => reply,
         Err(completion) => return completion,
--- a/crates/node/src/fanout.rs
+++ b/crates/node/src/fanout.rs
@@ -127,7 +127,7 @@
     pub fn new(
         registry: Rc<Registry>,
         metrics: Arc<Metrics>,
-        outgoing: Outgoing,
+        outgoing: Rc<Outgoing>,
         route: &Route,
         services: &[ServiceName],
         min_parts: usize,
@@ -151,7 +151,7 @@
             latency: registry.latency(route),
             registry,
             metrics,
-            outgoing: Rc::new(outgoing),
+            outgoing,
             parts: services.iter().map(part).collect(),
             events: VecDeque::new(),
             spare: services.len().saturating_sub(min_parts),
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use futures::stream::{FuturesUnordered, StreamExt};
 use gather::{Availability, Gather, Part, Step};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -23,8 +24,10 @@
 
 use crate::attempt::Outgoing;
 use crate::crashes::Crashes;
-use crate::exchange::{Reply, preconnect};
+use crate::endpoint::{Context, Endpoint};
+use crate::exchange::{Completion, Reply, check_connection, preconnect};
 use crate::fanout::{Event, Fanout};
+use crate::forward::FORWARDED_HEADER;
 use crate::metrics::Status;
 use crate::outcome::{Outcome, read_body};
 use crate::registry::Registry;
@@ -82,6 +85,9 @@
 /// Minimum buffer size that the HTTP library accepts.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 
+/// Maximum number of hosts to which a request is forwarded.
+const MAX_FORWARD_ATTEMPTS: usize = 3;
+
 /// Number of answers of which one is logged even if it is complete, so that the log also shows
 /// successful requests.
 const LOG_SAMPLE_INTERVAL: u32 = 200;
@@ -106,16 +112,18 @@
 }
 
 impl Front {
-    /// Serves callers until the process has stopped. Crashes of upstreams are sent to `reports`.
+    /// Serves callers until the process has stopped. Crashes of upstreams are sent to `reports`, and
+    /// whether the host is cut off from all upstreams to `isolated`.
     pub async fn run(
         shared: Shared,
         listeners: Listeners,
         mut views: watch::Receiver<Arc<View>>,
         reports: mpsc::Sender<Strike>,
+        isolated: watch::Sender<bool>,
     ) {
         let crashes = Crashes::new(reports, Arc::clone(&shared.metrics));
-        let registry = Registry::new(Arc::clone(&shared.settings), crashes, rand::random());
-        let registry = Rc::new(registry);
+        let settings = Arc::clone(&shared.settings);
+        let registry = Rc::new(Registry::new(settings, crashes, isolated, rand::random()));
         let relay = Relay::new(&registry, &shared.metrics);
         tokio::task::spawn_local(Rc::clone(&relay).run(listeners.relay));
         let front = Rc::new(Self {
@@ -147,15 +155,28 @@
         front.accept(listeners.front).await;
     }
 
-    /// Records the ticks by which the lag of the thread's event loop is measured, until the thread
-    /// ends.
+    /// Records the ticks by which the lag of the thread's event loop is measured, and starts checks
+    /// for isolation that are due, until the thread ends.
     async fn tick(self: Rc<Self>) {
         loop {
             tokio::time::sleep(TICK_INTERVAL).await;
-            self.loop_lag.borrow_mut().tick(Instant::now());
+            let now = Instant::now();
+            self.loop_lag.borrow_mut().tick(now);
+            if let Some(upstreams) = self.registry.start_isolation_check(now) {
+                tokio::task::spawn_local(Rc::clone(&self).check_isolation(now, upstreams));
+            }
         }
     }
 
+    /// Tries connections to upstreams until one opens.
+    async fn check_isolation(self: Rc<Self>, started: Instant, upstreams: Vec<Rc<Endpoint>>) {
+        let checks =
+            upstreams.iter().map(|upstream| check_connection(upstream, &self.shared.metrics));
+        let checks: FuturesUnordered<_> = checks.collect();
+        let connected = checks.any(|connected| async move { connected }).await;
+        self.registry.end_isolation_check(Instant::now(), started, connected);
+    }
+
     async fn accept(self: Rc<Self>, listener: TcpListener) {
         let listener = into_tokio(listener);
         let (close, closing) = watch::channel(false);
@@ -229,10 +250,14 @@
         let waited = self.loop_lag.borrow().max_wait(now);
         let arrival = now.checked_sub(waited).unwrap_or(now);
         let call = Call::read(request.headers());
+        let forwarded = request.headers().contains_key(FORWARDED_HEADER);
         let id: Box<str> = call.as_ref().map_or("(none)", Call::id_text).into();
         let path: Box<str> = request.uri().path().into();
         let outcome = match call {
-            Ok(call) => self.serve(arrival, call, request).await,
+            Ok(mut call) => {
+                call.headers.remove(FORWARDED_HEADER);
+                self.serve(arrival, call, request, forwarded).await
+            }
             Err(error) => {
                 log::info!(path, error:%; "malformed request");
                 Outcome::error(StatusCode::BAD_REQUEST, None, "malformed request")
@@ -271,7 +296,14 @@
         );
     }
 
-    async fn serve(&self, arrival: Instant, call: Call, request: Request<Incoming>) -> Outcome {
+    /// Serves a request; `forwarded` tells whether another host has forwarded it to this one.
+    async fn serve(
+        &self,
+        arrival: Instant,
+        call: Call,
+        request: Request<Incoming>,
+        forwarded: bool,
+    ) -> Outcome {
         let view = self.registry.view();
         let Some(table) = view.table.as_ref() else {
             return Outcome::error(
@@ -301,7 +333,7 @@
         }
         let time = call.timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
         let deadline = arrival + time.saturating_sub(FINAL_MARGIN);
-        let outgoing = Outgoing::new(call, method, target, body, deadline);
+        let outgoing = Rc::new(Outgoing::new(call, method, target, body, deadline));
         let now = Instant::now();
         if let Some(until) = self.registry.crashes().refused_until(now, outgoing.fingerprint) {
             return Outcome::error(
@@ -310,7 +342,73 @@
                 "request has crashed several upstreams",
             );
         }
-        let outcome = match &route.target {
+        let outcome = if forwarded {
+            self.serve_here(arrival, route, outgoing).await
+        } else {
+            self.serve_anywhere(arrival, route, outgoing).await
+        };
+        Outcome { route: Some(Arc::clone(route)), ..outcome }
+    }
+
+    /// Serves a request, through another host while this one is isolated.
+    ///
+    /// If this host becomes isolated during an idempotent request, the request fails at once, so that
+    /// the caller can repeat it at another host. It is not forwarded then, since it may already have
+    /// been sent to as many upstreams as its route allows.
+    async fn serve_anywhere(
+        &self,
+        arrival: Instant,
+        route: &Route,
+        outgoing: Rc<Outgoing>,
+    ) -> Outcome {
+        let context = self.registry.context();
+        if *context.isolated.borrow()
+            && let Some(outcome) = self.forward(&outgoing).await
+        {
+            return outcome;
+        }
+        let here = self.serve_here(arrival, route, Rc::clone(&outgoing));
+        if !route.idempotent {
+            return here.await;
+        }
+        tokio::pin!(here);
+        tokio::select! {
+            biased;
+            outcome = here.as_mut() => return outcome,
+            () = becomes_isolated(&context) => {}
+        }
+        if self.registry.forwarder(Instant::now()).is_none() {
+            return here.await;
+        }
+        Outcome::error(StatusCode::BAD_GATEWAY, None, "this host has lost all upstreams")
+    }
+
+    /// Forwards a request to another host. Returns `None` if no host could be reached.
+    ///
+    /// A request that may have reached another host is not forwarded again, since that host may have
+    /// sent it to as many upstreams as its route allows.
+    async fn forward(&self, outgoing: &Outgoing) -> Option<Outcome> {
+        let buffers = Rc::clone(&self.registry.context().buffers);
+        for _ in 0..MAX_FORWARD_ATTEMPTS {
+            let host = self.registry.forwarder(Instant::now())?;
+            self.shared.metrics.forwarded_requests.inc();
+            let sending = host.send(outgoing, &buffers);
+            let error = |status, cause| Some(Outcome::error(status, None, cause));
+            return match tokio::time::timeout_at(outgoing.deadline.into(), sending).await {
+                Ok(Completion::Replied(reply)) => {
+                    let cause = "another host answered";
+                    Some(Outcome { cause, ..Outcome::from_reply(reply) })
+                }
+                Ok(Completion::Unsent) => continue,
+                Ok(_) => error(StatusCode::BAD_GATEWAY, "no usable answer of another host"),
+                Err(_) => error(StatusCode::GATEWAY_TIMEOUT, "timeout of another host"),
+            };
+        }
+        None
+    }
+
+    async fn serve_here(&self, arrival: Instant, route: &Route, outgoing: Rc<Outgoing>) -> Outcome {
+        match &route.target {
             Target::Service(service) => self.single(route, service, outgoing).await,
             Target::Split(shares) => match self.registry.next_share(&route.name, shares) {
                 Some(share) => self.single(route, &share.service, outgoing).await,
@@ -319,11 +417,15 @@
                 }
             },
             Target::Gather(shards) => self.gather(arrival, route, shards, outgoing).await,
-        };
-        Outcome { route: Some(Arc::clone(route)), ..outcome }
+        }
     }
 
-    async fn single(&self, route: &Route, service: &ServiceName, outgoing: Outgoing) -> Outcome {
+    async fn single(
+        &self,
+        route: &Route,
+        service: &ServiceName,
+        outgoing: Rc<Outgoing>,
+    ) -> Outcome {
         let now = Instant::now();
         let availability = Availability::new([self.registry.available_at(now, service)]);
         if availability.unavailable_by(now + route.objective).next().is_some() {
@@ -366,7 +468,7 @@
         arrival: Instant,
         route: &Route,
         shards: &table::Gather,
-        outgoing: Outgoing,
+        outgoing: Rc<Outgoing>,
     ) -> Outcome {
         let deadline = outgoing.deadline;
         let (id, fingerprint) = (outgoing.call.id.clone(), outgoing.fingerprint);
@@ -449,6 +551,14 @@
     }
 }
 
+/// Waits until the host is isolated, or for ever if the host stops before that.
+async fn becomes_isolated(context: &Context) {
+    let isolated = context.isolated.subscribe().wait_for(|isolated| *isolated).await.is_ok();
+    if !isolated {
+        std::future::pending::<()>().await;
+    }
+}
+
 /// Refuses a request because too few upstreams accept requests in time. The retry time in the
 /// answer is when `min_shards` shards accept requests, if that is known.
 fn unavailable(
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,6 +18,7 @@
 mod exchange;
 mod fanout;
 mod follow;
+mod forward;
 mod front;
 mod latency;
 mod metrics;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -70,6 +70,8 @@
     pub crashes: Counter,
     /// Refusals of requests that crash upstreams.
     pub quarantined_requests: Counter,
+    /// Requests that were forwarded to another host.
+    pub forwarded_requests: Counter,
     /// Connections to upstreams, including those that could not be opened.
     pub connections: Counter,
     /// Calls to the store. A read in several pages, or a watch that is continued because its
@@ -95,6 +97,7 @@
             relay_requests_served: Counter::default(),
             crashes: Counter::default(),
             quarantined_requests: Counter::default(),
+            forwarded_requests: Counter::default(),
             connections: Counter::default(),
             store_calls: Counter::default(),
             store_failures: Counter::default(),
@@ -159,6 +162,11 @@
             "Refusals of requests that crash upstreams",
             self.quarantined_requests.clone(),
         );
+        registry.register(
+            "forwarded_requests",
+            "Requests forwarded to another host because this one reaches no upstream",
+            self.forwarded_requests.clone(),
+        );
         registry.register(
             "connections_opened",
             "Connections to upstreams, including those that could not be opened",
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -11,12 +11,15 @@
 use pick::{Candidate, ColdStart, Hosts};
 use platform::Settings;
 use rand::rngs::StdRng;
+use rand::seq::IteratorRandom;
 use rand::{RngExt, SeedableRng};
 use table::{Domain, Route, ServiceName, Share, Split, Upstream, UpstreamId, View};
+use tokio::sync::watch;
 
 use crate::crashes::Crashes;
 use crate::directory;
 use crate::endpoint::{Context, Endpoint};
+use crate::forward::{Forwarder, Forwarders};
 use crate::latency::Latency;
 use crate::peer::Peer;
 use crate::relays::Relays;
@@ -53,6 +56,10 @@
 /// multiple of the typical latency.
 const RELAYED_COST_FACTOR: f64 = 2.0;
 
+/// Number of upstreams of all services to which connections are tried in order to learn whether the
+/// host is isolated.
+const CHECKED_UPSTREAMS: usize = 4;
+
 /// Upstreams, services and routes of the current view, with their statistics and limits.
 pub struct Registry {
     settings: Arc<Settings>,
@@ -69,6 +76,7 @@
     latencies: BTreeMap<Box<str>, Rc<RefCell<Latency>>>,
     splits: BTreeMap<Box<str>, Split>,
     relays: Relays,
+    forwarders: Forwarders,
     windows: BTreeMap<Box<str>, Window>,
     waiting: BTreeMap<ServiceName, Rc<()>>,
     context: Rc<Context>,
@@ -141,7 +149,14 @@
 
 impl Registry {
     /// Creates an empty registry; `seed` determines how ties are broken.
-    pub fn new(settings: Arc<Settings>, crashes: Rc<Crashes>, seed: u64) -> Self {
+    ///
+    /// Whether the host is isolated is published to `isolated`.
+    pub fn new(
+        settings: Arc<Settings>,
+        crashes: Rc<Crashes>,
+        isolated: watch::Sender<bool>,
+        seed: u64,
+    ) -> Self {
         let hosts = RefCell::new(Hosts::new(&settings.host));
         let state = State {
             view: Arc::default(),
@@ -154,7 +169,14 @@
             relays: Relays::default(),
             windows: BTreeMap::new(),
             waiting: BTreeMap::new(),
-            context: Rc::new(Context { hosts, buffers: Rc::default(), crashes }),
+            context: Rc::new(Context {
+                hosts,
+                buffers: Rc::default(),
+                crashes,
+                isolation: RefCell::default(),
+                isolated,
+            }),
+            forwarders: Forwarders::default(),
             random: StdRng::seed_from_u64(seed),
             recent_advertised: None,
             slack: 0.0,
@@ -162,11 +184,58 @@
         Self { settings, state: RefCell::new(state) }
     }
 
+    /// Returns the state that all endpoints share.
+    pub fn context(&self) -> Rc<Context> {
+        Rc::clone(&self.state.borrow().context)
+    }
+
     /// Returns the requests that crash upstreams.
     pub fn crashes(&self) -> Rc<Crashes> {
         Rc::clone(&self.state.borrow().context.crashes)
     }
 
+    /// Returns a random available host to which a request can be forwarded.
+    pub fn forwarder(&self, now: Instant) -> Option<Rc<Forwarder>> {
+        let state = &mut *self.state.borrow_mut();
+        state.forwarders.choose(now, state.random.random())
+    }
+
+    /// Returns the upstreams to which connections are tried in order to learn whether the host is
+    /// isolated, if that is due. One of them is in the host's own failure domain, if there is any.
+    pub fn start_isolation_check(&self, now: Instant) -> Option<Vec<Rc<Endpoint>>> {
+        let state = &mut *self.state.borrow_mut();
+        let upstreams = state.endpoints.len();
+        if !state.context.isolation.borrow_mut().start_check(now, upstreams) {
+            return None;
+        }
+        let local = state.endpoints.values().filter(|endpoint| !endpoint.remote);
+        let sample = local.sample(&mut state.random, 1).into_iter().cloned();
+        let mut sample: Vec<_> = sample.collect();
+        sample.extend(
+            state
+                .endpoints
+                .values()
+                .sample(&mut state.random, CHECKED_UPSTREAMS)
+                .into_iter()
+                .cloned(),
+        );
+        Some(sample)
+    }
+
+    /// Records the result of a check that began at `started`. Idle connections of an isolated host
+    /// are closed, since they may have been lost.
+    pub fn end_isolation_check(&self, now: Instant, started: Instant, connected: bool) {
+        let state = self.state.borrow();
+        let changed = state.context.isolation.borrow_mut().end_check(now, started, connected);
+        if !changed {
+            return;
+        }
+        if !connected {
+            state.endpoints.values().for_each(|endpoint| endpoint.connections.clear());
+        }
+        state.context.publish_isolation();
+    }
+
     /// Returns the current view.
     pub fn view(&self) -> Arc<View> {
         Arc::clone(&self.state.borrow().view)
@@ -212,6 +281,7 @@
         let previous = std::mem::replace(&mut state.endpoints, endpoints);
         state.keep_departed(now, previous);
         state.relays.update(&view, &self.settings.domain);
+        state.forwarders.update(&view, &self.settings.host, &self.settings.domain);
         let shared = |(name, endpoints): (_, Vec<_>)| (name, Rc::from(endpoints));
         state.services = services.into_iter().map(shared).collect();
         state.waiting.retain(|_, waiting| Rc::strong_count(waiting) > 1);
@@ -410,10 +480,11 @@
     /// Only the host that ranks first for the upstream sends, preferably one in the same failure
     /// domain.
     fn cold_spacing(&self, view: &View, upstream: &Upstream) -> Option<Duration> {
-        let hosts = view.hosts.values();
-        let local = hosts.filter(|host| host.domain == upstream.domain).map(|host| &*host.name);
+        let hosts = view.hosts.values().filter(|host| !host.isolated);
+        let local =
+            hosts.clone().filter(|host| host.domain == upstream.domain).map(|host| &*host.name);
         let local: Vec<&str> = local.collect();
-        let all = || view.hosts.keys().map(|name| &**name);
+        let all = || hosts.clone().map(|host| &*host.name);
         let own = &*self.settings.host;
         let first = if local.is_empty() {
             pick::ranks_first(&upstream.id, own, all())
--- a/crates/node/src/relays.rs
+++ b/crates/node/src/relays.rs
@@ -20,12 +20,13 @@
 }
 
 impl Relays {
-    /// Replaces the relays by the hosts of `view` outside of the domain `own` that have a large
-    /// enough processor share. A host that was known before, under the same address, keeps its
+    /// Replaces the relays by the hosts of `view` outside of the domain `own` that reach the upstreams
+    /// and have a large enough processor share. A host that was known before, under the same address, keeps its
     /// state.
     pub fn update(&mut self, view: &View, own: &str) {
         let max = view.hosts.values().map(|host| host.cores).fold(0.0, f64::max);
-        let strong = view.hosts.values().filter(|host| host.cores >= max * MIN_CORES_RATIO);
+        let reachable = view.hosts.values().filter(|host| !host.isolated);
+        let strong = reachable.filter(|host| host.cores >= max * MIN_CORES_RATIO);
         let mut domains: BTreeMap<Domain, Vec<Rc<Peer>>> = BTreeMap::new();
         for host in strong.filter(|host| *host.domain != *own) {
             let same =
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -63,18 +63,19 @@
     let store = platform::Client::new(settings.store).map_err(Error::other)?;
     let (view, views) = watch::channel(Arc::new(View::default()));
     let (reports, reported) = mpsc::channel(MAX_WAITING);
+    let (isolated, isolation) = watch::channel(false);
 
     let traffic = shared.clone();
     let thread = kernel::spawn_local("traffic", move || {
         let listeners = crate::front::Listeners { front, relay };
-        Front::run(traffic, listeners, views, reports)
+        Front::run(traffic, listeners, views, reports, isolated)
     })?;
     process.add_thread(thread);
     let control = shared.clone();
     let listeners = crate::control::Listeners { readiness, peer, directory, metrics };
     // The control thread serves until the process ends, so the process does not wait for it.
     kernel::spawn_local("control", move || {
-        Control::run(control, store, listeners, view, reported)
+        Control::run(control, store, listeners, view, reported, isolation)
     })?;
     log::info!(
         host = settings.host,
--- a/crates/node/tests/directory.rs
+++ b/crates/node/tests/directory.rs
@@ -27,6 +27,7 @@
             peer: address(2),
             relay: None,
             cores: *power,
+            isolated: false,
         };
         view.hosts.insert((*name).into(), Arc::new(host));
     }
--- a/crates/node/tests/stranded.rs
+++ b/crates/node/tests/stranded.rs
@@ -8,7 +8,7 @@
 
 use reqwest::Method;
 use standin::{Impairment, Kv, Proxy};
-use support::{Node, World, client, until};
+use support::{Node, World, client, record, until};
 
 /// Time that a host has to react, half of what the platform grants.
 const REACTION_TIME: Duration = Duration::from_secs(2);
@@ -31,7 +31,10 @@
 
 impl Hosts {
     async fn start() -> Self {
-        let world = World::start().await;
+        let mut world = World::start().await;
+        for service in ["shard-0", "shard-1", "shard-2"] {
+            world.add(service, "perth-3", &record(0)).await;
+        }
         let store = Kv::start().await.expect("the store starts");
         let mut proxies = BTreeMap::new();
         for (id, shard) in &world.shards {
@@ -142,3 +145,23 @@
     let (served, sent) = hosts.call(REACTION_TIME / 2).await;
     assert_eq!(served, sent);
 }
+
+/// Guards against a query that runs on more upstreams of a shard than its route allows, because it
+/// is sent again through another host when its own host loses the upstreams.
+#[tokio::test(flavor = "multi_thread")]
+async fn query_in_flight_at_an_isolated_host_fails_and_is_not_sent_again() {
+    let hosts = Hosts::start().await;
+    hosts.call(REACTION_TIME / 4).await;
+    let shards = hosts.world.shards.values();
+    shards.for_each(|shard| shard.set_service_time(REACTION_TIME * 2));
+    let query = tokio::spawn(hosts.proxied.call(Method::GET, "/all/x", "in flight").send());
+    tokio::time::sleep(REACTION_TIME / 4).await;
+    hosts.cut("", Impairment::Cut);
+    let answer = query.await.expect("the task ends").expect("an answer");
+    assert_eq!(answer.status(), 502);
+    for service in ["shard-0", "shard-1", "shard-2"] {
+        let runs = hosts.world.of(service).into_iter().flat_map(standin::Shard::runs);
+        let count = runs.filter(|run| &*run.id == "in flight").count();
+        assert!((1..=2).contains(&count), "{service} ran the query {count} times");
+    }
+}
--- a/crates/pick/src/lib.rs
+++ b/crates/pick/src/lib.rs
@@ -5,7 +5,8 @@
 //! that it states.
 //! [`choose`] takes the replica with the lowest cost, which is the expected response time with
 //! penalties for failures, stalls and the distance to the replica. Only the outcomes of requests
-//! count; health endpoints, which may lag or be wrong, do not. Reasons are in
+//! count; health endpoints, which may lag or be wrong, do not. [`Isolation`] tells when the host
+//! cannot reach any upstream. Reasons are in
 //! `docs/design/platform.md`.
 //!
 //! ```
@@ -25,6 +26,7 @@
 mod choice;
 mod cold_start;
 mod hosts;
+mod isolation;
 mod rank;
 mod rate_limit;
 mod replica;
@@ -32,6 +34,7 @@
 pub use crate::choice::{Candidate, choose};
 pub use crate::cold_start::ColdStart;
 pub use crate::hosts::Hosts;
+pub use crate::isolation::Isolation;
 pub use crate::rank::ranks_first;
 pub use crate::rate_limit::{RateLimit, queue_time};
 pub use crate::replica::{Outcome, Replica, Token};
--- a/crates/table/src/resource.rs
+++ b/crates/table/src/resource.rs
@@ -24,6 +24,8 @@
     pub relay: Option<SocketAddr>,
     /// Processor limit in cores, a measure of how much work the host can take.
     pub cores: f64,
+    /// Whether the host cannot reach any upstream. Callers should use others then.
+    pub isolated: bool,
 }
 
 /// A decoded entry of the store.
