Split the run of the soak into faults, calm changes and the history

The checks of the history are in check.rs, the changes made while nothing else is disturbed in calm.rs; no statement has changed.

--- /dev/null
+++ b/crates/soak/src/calm.rs
@@ -0,0 +1,104 @@
+//! Changes that are made while no other fault is injected, so that the limits on their effects can
+//! be checked.
+
+use std::time::{Duration, Instant};
+
+use crate::environment::{MAX_UPDATE_LAG, UPSTREAM_DOMAINS};
+use crate::report::Violation;
+use crate::run::{Run, SCHEDULING_SLACK, UNDISTURBED_WINDOW, lock};
+
+/// Rate limit that an upstream states, in requests per second.
+const RATE_LIMIT: f64 = 5.0;
+
+/// Time that hosts have to apply a rate limit.
+const RATE_LIMIT_REACTION: Duration = Duration::from_millis(500);
+
+/// Time for which a rate limit is observed. It is longer than drains and evacuations, so that it
+/// includes the return of the upstream.
+const RATE_LIMIT_DURATION: Duration = Duration::from_secs(8);
+
+/// Time in which the requests to an upstream with a rate limit are counted.
+const RATE_LIMIT_WINDOW: Duration = Duration::from_secs(4);
+
+impl Run {
+    /// Waits until the time limits are checked on all hosts, which is rarely the case while faults
+    /// overlap, and then writes a configuration, drains an upstream and evacuates a failure domain,
+    /// while another upstream states a rate limit.
+    pub async fn change_undisturbed(&self, target: usize) {
+        tokio::time::sleep(UNDISTURBED_WINDOW + SCHEDULING_SLACK).await;
+        lock(&self.environment).configure();
+        tokio::join!(self.drain(target), self.evacuate(target + 1), self.limit_rate(target + 2));
+    }
+
+    /// Sets an upstream to draining, checks that it gets no more requests once the change must have
+    /// taken effect, and sets it back to ready.
+    pub async fn drain(&self, target: usize) {
+        let ids = {
+            let environment = lock(&self.environment);
+            let upstream = environment.upstream(target);
+            environment.register(upstream, "draining");
+            vec![upstream.id.clone()]
+        };
+        self.expect_no_requests(&ids, "draining").await;
+        let environment = lock(&self.environment);
+        environment.register(environment.upstream(target), "ready");
+    }
+
+    /// Evacuates a failure domain, checks that its upstreams get no more requests once the change
+    /// must have taken effect, and ends the evacuation.
+    pub async fn evacuate(&self, target: usize) {
+        let domain = UPSTREAM_DOMAINS[target % UPSTREAM_DOMAINS.len()];
+        let key = format!("op/evacuate/{domain}");
+        let ids: Vec<Box<str>> = {
+            let environment = lock(&self.environment);
+            environment.store.put(&key, b"{}");
+            let evacuated =
+                environment.upstreams.iter().filter(|upstream| upstream.domain == domain);
+            evacuated.map(|upstream| upstream.id.clone()).collect()
+        };
+        self.expect_no_requests(&ids, "evacuated").await;
+        lock(&self.environment).store.remove(&key);
+    }
+
+    /// Waits until the last change must have taken effect, and then reports a violation if the
+    /// upstreams get requests within one second. The check is skipped if a host or the store was
+    /// disturbed shortly before the change or since.
+    async fn expect_no_requests(&self, ids: &[Box<str>], state: &str) {
+        let written = Instant::now();
+        tokio::time::sleep(MAX_UPDATE_LAG + SCHEDULING_SLACK).await;
+        let before = self.arrivals(ids);
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        let after = self.arrivals(ids);
+        if self.was_undisturbed(written) && after != before {
+            let detail = format!("{} requests to {ids:?}, which are {state}", after - before);
+            lock(&self.report).add_violation(Violation::LateWork, detail);
+        }
+    }
+
+    /// Makes an upstream state a rate limit, and reports a violation if it gets more requests than
+    /// that allows. The check is skipped like that of [`expect_no_requests`].
+    ///
+    /// [`expect_no_requests`]: Self::expect_no_requests
+    async fn limit_rate(&self, target: usize) {
+        let shard = lock(&self.environment).upstream(target).shard.clone();
+        let stated = Instant::now();
+        shard.set_rate_limit(Some(RATE_LIMIT));
+        tokio::time::sleep(RATE_LIMIT_REACTION + SCHEDULING_SLACK).await;
+        let mut samples = vec![(Instant::now(), shard.arrivals())];
+        while stated.elapsed() < RATE_LIMIT_DURATION {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            samples.push((Instant::now(), shard.arrivals()));
+        }
+        shard.set_rate_limit(None);
+        let max = (RATE_LIMIT * 1.5 * RATE_LIMIT_WINDOW.as_secs_f64()) as usize + 5;
+        let busiest = samples.iter().map(|(start, before)| {
+            let mut window = samples.iter().filter(|(at, _)| *at < *start + RATE_LIMIT_WINDOW);
+            window.next_back().map_or(0, |(_, after)| after.saturating_sub(*before))
+        });
+        let busiest = busiest.max().unwrap_or(0);
+        if self.was_undisturbed(stated) && busiest > max {
+            let detail = format!("{busiest} requests in 4 s, {max} allowed");
+            lock(&self.report).add_violation(Violation::RateLimitExceeded, detail);
+        }
+    }
+}
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -6,6 +6,8 @@
 //! failures of upstreams and of the store, and edits by operators. Clients check every answer while
 //! faults are injected, and the whole history is checked at the end. See `docs/design/soak.md`.
 
+mod calm;
+mod check;
 mod client;
 mod environment;
 mod faults;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,49 +1,33 @@
-//! A run: hosts, clients and faults, and the checks of the answers and of the history.
+//! A run: hosts, clients and faults, and the checks of each answer.
 
-use std::collections::BTreeMap;
 use std::io::Result;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use gather::greatest;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use rustix::process::Signal;
 use standin::{Fault, Impairment, StoreFault};
 
+use crate::check::check_history;
 use crate::client::{Client, Exchange, Route};
-use crate::environment::{
-    Environment, HOST_DOMAINS, MAX_UPDATE_LAG, SHARDS, TOP_K, UPSTREAM_DOMAINS,
-};
+use crate::environment::{Environment, HOST_DOMAINS, MAX_UPDATE_LAG};
 use crate::faults::{Injection, Kind, draw};
 use crate::host::{Host, SHUTDOWN_GRACE};
 use crate::report::{Report, Violation};
 
 /// Time for which the store, a host and the connections between them must have been undisturbed
 /// before time limits are checked on the host.
-const UNDISTURBED_WINDOW: Duration = Duration::from_secs(4);
+pub const UNDISTURBED_WINDOW: Duration = Duration::from_secs(4);
 
 /// Added to time limits, since one busy machine runs all hosts, upstreams and clients.
-const SCHEDULING_SLACK: Duration = Duration::from_millis(1_500);
+pub const SCHEDULING_SLACK: Duration = Duration::from_millis(1_500);
 
 /// Time after the last fault within which every host must serve requests again.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(12);
 
-/// Rate limit that an upstream states, in requests per second.
-const RATE_LIMIT: f64 = 5.0;
-
-/// Time that hosts have to apply a rate limit.
-const RATE_LIMIT_REACTION: Duration = Duration::from_millis(500);
-
-/// Time for which a rate limit is observed. It is longer than drains and evacuations, so that it
-/// includes the return of the upstream.
-const RATE_LIMIT_DURATION: Duration = Duration::from_secs(8);
-
-/// Time in which the requests to an upstream with a rate limit are counted.
-const RATE_LIMIT_WINDOW: Duration = Duration::from_secs(4);
-
 /// Parameters of a run.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -64,11 +48,11 @@
 }
 
 /// State that the tasks of a run share.
-struct Run {
-    environment: Mutex<Environment>,
-    hosts: Mutex<Vec<Host>>,
+pub struct Run {
+    pub environment: Mutex<Environment>,
+    pub hosts: Mutex<Vec<Host>>,
     exchanges: Mutex<Vec<Exchange>>,
-    report: Mutex<Report>,
+    pub report: Mutex<Report>,
     /// When an outage of the store or the expiry of its leases last began or ended.
     store_disturbed: Mutex<Instant>,
     /// Whether the clients are to stop.
@@ -78,7 +62,8 @@
     seed: u64,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+/// Locks a mutex, also after a task has panicked with it.
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
@@ -142,8 +127,9 @@
     for client in clients {
         client.await?;
     }
-    run.check_history();
-    Ok(lock(&run.report).clone())
+    let mut report = lock(&run.report);
+    check_history(&lock(&run.environment), &lock(&run.exchanges), &mut report);
+    Ok(report.clone())
 }
 
 impl Run {
@@ -170,16 +156,7 @@
         true
     }
 
-    /// Waits until the time limits are checked on all hosts, which is rarely the case while faults
-    /// overlap, and then writes a configuration, drains an upstream and evacuates a failure domain,
-    /// while another upstream states a rate limit.
-    async fn change_undisturbed(&self, target: usize) {
-        tokio::time::sleep(UNDISTURBED_WINDOW + SCHEDULING_SLACK).await;
-        lock(&self.environment).configure();
-        tokio::join!(self.drain(target), self.evacuate(target + 1), self.limit_rate(target + 2));
-    }
-
-    fn next_id(&self) -> String {
+    pub fn next_id(&self) -> String {
         format!("{}-{}", self.seed, self.id_count.fetch_add(1, Ordering::Relaxed))
     }
 
@@ -395,210 +372,17 @@
         action(lock(&self.environment).upstream(target));
     }
 
-    /// Sets an upstream to draining, checks that it gets no more requests once the change must have
-    /// taken effect, and sets it back to ready.
-    async fn drain(&self, target: usize) {
-        let ids = {
-            let environment = lock(&self.environment);
-            let upstream = environment.upstream(target);
-            environment.register(upstream, "draining");
-            vec![upstream.id.clone()]
-        };
-        self.expect_no_requests(&ids, "draining").await;
-        let environment = lock(&self.environment);
-        environment.register(environment.upstream(target), "ready");
-    }
-
-    /// Evacuates a failure domain, checks that its upstreams get no more requests once the change
-    /// must have taken effect, and ends the evacuation.
-    async fn evacuate(&self, target: usize) {
-        let domain = UPSTREAM_DOMAINS[target % UPSTREAM_DOMAINS.len()];
-        let key = format!("op/evacuate/{domain}");
-        let ids: Vec<Box<str>> = {
-            let environment = lock(&self.environment);
-            environment.store.put(&key, b"{}");
-            let evacuated =
-                environment.upstreams.iter().filter(|upstream| upstream.domain == domain);
-            evacuated.map(|upstream| upstream.id.clone()).collect()
-        };
-        self.expect_no_requests(&ids, "evacuated").await;
-        lock(&self.environment).store.remove(&key);
-    }
-
-    /// Waits until the last change must have taken effect, and then reports a violation if the
-    /// upstreams get requests within one second. The check is skipped if a host or the store was
-    /// disturbed shortly before the change or since.
-    async fn expect_no_requests(&self, ids: &[Box<str>], state: &str) {
-        let written = Instant::now();
-        tokio::time::sleep(MAX_UPDATE_LAG + SCHEDULING_SLACK).await;
-        let before = self.arrivals(ids);
-        tokio::time::sleep(Duration::from_secs(1)).await;
-        let after = self.arrivals(ids);
-        if self.was_undisturbed(written) && after != before {
-            let detail = format!("{} requests to {ids:?}, which are {state}", after - before);
-            lock(&self.report).add_violation(Violation::LateWork, detail);
-        }
-    }
-
-    /// Makes an upstream state a rate limit, and reports a violation if it gets more requests than
-    /// that allows. The check is skipped like that of [`expect_no_requests`].
-    ///
-    /// [`expect_no_requests`]: Self::expect_no_requests
-    async fn limit_rate(&self, target: usize) {
-        let shard = lock(&self.environment).upstream(target).shard.clone();
-        let stated = Instant::now();
-        shard.set_rate_limit(Some(RATE_LIMIT));
-        tokio::time::sleep(RATE_LIMIT_REACTION + SCHEDULING_SLACK).await;
-        let mut samples = vec![(Instant::now(), shard.arrivals())];
-        while stated.elapsed() < RATE_LIMIT_DURATION {
-            tokio::time::sleep(Duration::from_millis(100)).await;
-            samples.push((Instant::now(), shard.arrivals()));
-        }
-        shard.set_rate_limit(None);
-        let max = (RATE_LIMIT * 1.5 * RATE_LIMIT_WINDOW.as_secs_f64()) as usize + 5;
-        let busiest = samples.iter().map(|(start, before)| {
-            let mut window = samples.iter().filter(|(at, _)| *at < *start + RATE_LIMIT_WINDOW);
-            window.next_back().map_or(0, |(_, after)| after.saturating_sub(*before))
-        });
-        let busiest = busiest.max().unwrap_or(0);
-        if self.was_undisturbed(stated) && busiest > max {
-            let detail = format!("{busiest} requests in 4 s, {max} allowed");
-            lock(&self.report).add_violation(Violation::RateLimitExceeded, detail);
-        }
-    }
-
     /// Returns whether no host and not the store has been disturbed since shortly before `start`.
-    fn was_undisturbed(&self, start: Instant) -> bool {
+    pub fn was_undisturbed(&self, start: Instant) -> bool {
         let disturbed = lock(&self.hosts).iter().map(|host| host.last_disturbed).max();
         let disturbed = disturbed.max(Some(*lock(&self.store_disturbed)));
         disturbed.is_some_and(|at| at + UNDISTURBED_WINDOW < start)
     }
 
     /// Returns the number of requests that these upstreams have received so far.
-    fn arrivals(&self, ids: &[Box<str>]) -> usize {
+    pub fn arrivals(&self, ids: &[Box<str>]) -> usize {
         let environment = lock(&self.environment);
         let selected = environment.upstreams.iter().filter(|upstream| ids.contains(&upstream.id));
         selected.map(|upstream| upstream.shard.arrivals()).sum()
     }
-
-    /// Checks the answers against the requests that ran on the upstreams.
-    fn check_history(&self) {
-        let environment = lock(&self.environment);
-        let exchanges = lock(&self.exchanges);
-        let mut report = lock(&self.report);
-        let mut ran: BTreeMap<Box<str>, Vec<usize>> = BTreeMap::new();
-        for (index, upstream) in environment.upstreams.iter().enumerate() {
-            for run in upstream.shard.runs() {
-                if !run.body.is_empty() || !run.line.starts_with("GET /") {
-                    report.add_violation(Violation::UnexpectedRequest, format!("{run:?}"));
-                }
-                ran.entry(run.id).or_default().push(index);
-            }
-        }
-        for exchange in exchanges.iter() {
-            let runs = ran.get(&exchange.id).map_or(&[][..], Vec::as_slice);
-            check_exchange(&environment, exchange, runs, &mut report);
-        }
-        check_versions(&exchanges, &mut report);
-    }
-}
-
-/// Checks one answer against `runs`, the indices of the upstreams that ran its request. An upstream
-/// that ran the request twice occurs twice.
-fn check_exchange(
-    environment: &Environment,
-    exchange: &Exchange,
-    runs: &[usize],
-    report: &mut Report,
-) {
-    let id = &exchange.id;
-    if exchange.route == Route::NonIdempotent && runs.len() > 1 {
-        report.add_violation(Violation::DuplicateRun, format!("{id} ran {} times", runs.len()));
-    }
-    if matches!(exchange.status, 408 | 421 | 429 | 503) && !runs.is_empty() {
-        report.add_violation(
-            Violation::FalseRefusal,
-            format!("{id} got status {} and ran", exchange.status),
-        );
-    }
-    if exchange.status != 200 || exchange.cut {
-        return;
-    }
-    if exchange.answer_id.as_ref() != Some(id) {
-        report.add_violation(
-            Violation::WrongAnswer,
-            format!("{id} got the answer of request {:?}", exchange.answer_id),
-        );
-    }
-    let stamp = |index: &usize| {
-        let upstream = &environment.upstreams[*index];
-        format!("{}.{id}.{}", upstream.id, upstream.records.len())
-    };
-    let stamped: Vec<usize> = runs
-        .iter()
-        .filter(|index| exchange.stamps.contains(stamp(index).as_str()))
-        .copied()
-        .collect();
-    let mut services: Vec<_> =
-        stamped.iter().map(|index| &environment.upstreams[*index].service).collect();
-    services.sort_unstable();
-    services.dedup();
-    if services.len() != exchange.stamps.len() {
-        report.add_violation(
-            Violation::FalseCoverage,
-            format!("{id} has stamps {:?}", exchange.stamps),
-        );
-    }
-    let bodies = || stamped.iter().map(|index| &*environment.upstreams[*index].records);
-    let body_matches = match exchange.route {
-        Route::AllShards => {
-            if exchange.stamps.len() + exchange.missing_parts != SHARDS
-                || exchange.stamps.len() * 2 < SHARDS
-            {
-                report.add_violation(
-                    Violation::FalseCoverage,
-                    format!("{id} reports {} missing parts", exchange.missing_parts),
-                );
-            }
-            // The records of an upstream that ran a request twice count once.
-            let mut distinct = stamped.clone();
-            distinct.sort_unstable();
-            distinct.dedup();
-            let bodies = distinct.iter().map(|index| &*environment.upstreams[*index].records);
-            greatest(bodies, TOP_K) == exchange.body
-        }
-        Route::NonIdempotent | Route::Version(_) => bodies().any(|body| *body == *exchange.body),
-    };
-    if !body_matches {
-        report.add_violation(
-            Violation::WrongAnswer,
-            format!("{id} got a body that its upstreams did not send"),
-        );
-    }
-}
-
-/// Checks that no host served an older configuration after a newer one. The route of version N is
-/// served only while N is in force, so a request that is sent after an answer to version N must not
-/// be served by an older version.
-fn check_versions(exchanges: &[Exchange], report: &mut Report) {
-    let mut newest: BTreeMap<usize, (u64, Instant)> = BTreeMap::new();
-    let mut served: Vec<_> = exchanges
-        .iter()
-        .filter(|exchange| exchange.status == 200)
-        .filter_map(|exchange| match exchange.route {
-            Route::Version(version) => Some((exchange, version)),
-            _ => None,
-        })
-        .collect();
-    served.sort_by_key(|(exchange, _)| exchange.ended);
-    for (exchange, version) in served {
-        let seen = newest.entry(exchange.host).or_insert((version, exchange.ended));
-        if version < seen.0 && exchange.sent > seen.1 {
-            let detail = format!("{}: version {version} after {}", exchange.id, seen.0);
-            report.add_violation(Violation::ConfigReverted, detail);
-        }
-        if version >= seen.0 {
-            *seen = (version, exchange.ended);
-        }
-    }
 }
