Report crashes through other hosts while a host cannot reach the store

A host that is cut off from the store kept its crashes to itself, so that the others had to see three more. The log line of a refusal names the route.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -12,14 +12,13 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use platform::DiscoveryRequest;
-use quarantine::Strike;
 use table::{Host, View};
 use tokio::sync::{mpsc, watch};
 use tokio::task::spawn_local;
 
 use crate::directory;
 use crate::follow::{self, Update};
-use crate::reporter::Reporter;
+use crate::reporter::{Report, Reporter};
 use crate::server::{Body, empty_response, http_builder, response, serve};
 use crate::start::Shared;
 
@@ -82,6 +81,7 @@
     shared: Shared,
     own: Host,
     own_key: Box<str>,
+    reports: mpsc::Sender<Report>,
     isolated: watch::Receiver<bool>,
     mirror: RefCell<Mirror>,
     sources: RefCell<Sources>,
@@ -99,12 +99,14 @@
         store: platform::Client,
         listeners: Listeners,
         view: watch::Sender<Arc<View>>,
-        reports: mpsc::Receiver<Strike>,
+        (reports, reported): (mpsc::Sender<Report>, mpsc::Receiver<Report>),
         isolated: watch::Receiver<bool>,
     ) {
-        let reporter = Reporter::new(store.clone(), Arc::clone(&shared.metrics));
-        spawn_local(reporter.run(reports));
-        let control = Rc::new(Self::new(shared, view, isolated));
+        let control = Rc::new(Self::new(shared, view, reports, isolated));
+        let metrics = Arc::clone(&control.shared.metrics);
+        let (views, http) = (control.view.subscribe(), control.http.clone());
+        let reporter = Reporter::new(store.clone(), metrics, control.own.peer, views, http);
+        spawn_local(reporter.run(reported));
         for listener in [listeners.directory, listeners.readiness] {
             let this = Rc::clone(&control);
             spawn_local(serve(listener, http_builder(), move |request| {
@@ -125,6 +127,7 @@
     fn new(
         shared: Shared,
         view: watch::Sender<Arc<View>>,
+        reports: mpsc::Sender<Report>,
         isolated: watch::Receiver<bool>,
     ) -> Self {
         let settings = &shared.settings;
@@ -143,6 +146,7 @@
         Self {
             own_key: platform::host_key(&own.name),
             own,
+            reports,
             isolated,
             mirror: RefCell::new(Mirror::new(platform::decode)),
             sources: RefCell::new(sources),
@@ -430,11 +434,26 @@
         !self.shared.stop.is_set() && self.view.borrow().table.is_some()
     }
 
+    /// Accepts the report of a crash from another host, to write it to the store.
+    fn accept_report(&self, query: Option<&str>) -> Response<Body> {
+        let Some(strike) = follow::parse_report(query) else {
+            return empty_response(StatusCode::BAD_REQUEST);
+        };
+        match self.reports.try_send(Report { strike, delegated: true }) {
+            Ok(()) => empty_response(StatusCode::OK),
+            Err(error) => {
+                log::warn!(error:%; "cannot accept the report of a crash from another host");
+                empty_response(StatusCode::SERVICE_UNAVAILABLE)
+            }
+        }
+    }
+
     /// Answers a host that follows this one, after the first change or the wait time of the
     /// request.
     async fn serve_follower(self: Rc<Self>, request: Request<Incoming>) -> Response<Body> {
         let parsed = match request.uri().path() {
             follow::PATH => follow::parse_request(request.uri().query()),
+            follow::CRASHES_PATH => return self.accept_report(request.uri().query()),
             _ => None,
         };
         let Some(follow::Request { after, wait }) = parsed else {
--- a/crates/node/src/crashes.rs
+++ b/crates/node/src/crashes.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use quarantine::{AttemptId, Fingerprint, Quarantine, Strike, attempt_id};
+use quarantine::{AttemptId, Fingerprint, Quarantine, attempt_id};
 use table::View;
 use tokio::sync::mpsc;
 
@@ -13,6 +13,7 @@
 use crate::endpoint::Endpoint;
 use crate::exchange::check_connection;
 use crate::metrics::Metrics;
+use crate::reporter::Report;
 
 /// Time after a broken connection within which the others to a crashed upstream are closed, too.
 const CLOSE_DELAY: Duration = Duration::from_millis(20);
@@ -27,7 +28,7 @@
 /// The requests in quarantine, as the traffic thread keeps them.
 pub struct Crashes {
     quarantine: RefCell<Quarantine>,
-    reports: mpsc::Sender<Strike>,
+    reports: mpsc::Sender<Report>,
     metrics: Arc<Metrics>,
     /// Number of checks that have not ended.
     checks: Cell<usize>,
@@ -35,7 +36,7 @@
 
 impl Crashes {
     /// Creates an empty quarantine, whose confirmed crashes are sent to `reports`.
-    pub fn new(reports: mpsc::Sender<Strike>, metrics: Arc<Metrics>) -> Rc<Self> {
+    pub fn new(reports: mpsc::Sender<Report>, metrics: Arc<Metrics>) -> Rc<Self> {
         Rc::new(Self { quarantine: RefCell::default(), reports, metrics, checks: Cell::new(0) })
     }
 
@@ -115,7 +116,7 @@
             crashes = strike.crashes;
             "upstream crashed during a request that was not answered"
         );
-        if let Err(error) = self.reports.try_send(strike) {
+        if let Err(error) = self.reports.try_send(Report { strike, delegated: false }) {
             log::warn!(error:%; "cannot report a crash to the other hosts");
         }
     }
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -4,11 +4,18 @@
 use std::time::Duration;
 
 use feed::{Batch, Error, Revision};
+use quarantine::Strike;
 use serde::{Deserialize, Serialize};
 
 /// Path of followers' requests.
 pub const PATH: &str = "/feed";
 
+/// Path of reports of crashes by hosts that cannot write to the store.
+pub const CRASHES_PATH: &str = "/crashes";
+
+/// Time limit for a report to another host.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(350);
+
 /// Added to the wait time of a request to get its timeout, for network delay and slow processors.
 const TIMEOUT_MARGIN: Duration = Duration::from_millis(350);
 
@@ -38,12 +45,8 @@
 /// Parses the query string of a follower's request; returns `None` if a field is missing or
 /// invalid.
 pub fn parse_request(query: Option<&str>) -> Option<Request> {
-    let number = |name: &str| {
-        let pairs = query?.split('&').filter_map(|pair| pair.split_once('='));
-        pairs.filter(|(key, _)| *key == name).find_map(|(_, value)| value.parse::<u64>().ok())
-    };
-    let wait = Duration::from_millis(number("wait_ms")?);
-    Some(Request { after: number("after")?, wait })
+    let wait = Duration::from_millis(number(query, "wait_ms")?);
+    Some(Request { after: number(query, "after")?, wait })
 }
 
 /// Fetches changes from a host.
@@ -68,3 +71,38 @@
     let body = response.bytes().await.map_err(Error::unavailable)?;
     serde_json::from_slice(&body).map_err(Error::malformed)
 }
+
+/// Reports a crash to a host, which writes it to the store.
+///
+/// # Errors
+///
+/// Returns an error when the host does not respond in time, or with a status other than success.
+pub async fn report(
+    http: &reqwest::Client,
+    address: SocketAddr,
+    strike: &Strike,
+) -> feed::Result<()> {
+    let Strike { request, attempt, crashes } = strike;
+    let query = format!("request={request}&attempt={attempt}&crashes={crashes}");
+    let call = http.post(format!("http://{address}{CRASHES_PATH}?{query}"));
+    let response = call.timeout(REPORT_TIMEOUT).send().await.map_err(Error::unavailable)?;
+    if !response.status().is_success() {
+        return Err(Error::refused(response.status().as_u16()));
+    }
+    Ok(())
+}
+
+/// Parses the query string of a report; returns `None` if a field is missing or invalid.
+pub fn parse_report(query: Option<&str>) -> Option<Strike> {
+    Some(Strike {
+        request: number(query, "request")?,
+        attempt: number(query, "attempt")?,
+        crashes: number(query, "crashes")?.try_into().ok()?,
+    })
+}
+
+/// Returns the number with the given name in a query string.
+fn number(query: Option<&str>, name: &str) -> Option<u64> {
+    let pairs = query?.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.filter(|(key, _)| *key == name).find_map(|(_, value)| value.parse().ok())
+}
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -18,7 +18,6 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use limit::{LoopLag, TICK_INTERVAL};
 use platform::Call;
-use quarantine::Strike;
 use table::{Route, ServiceName, Target, View};
 use tokio::sync::{mpsc, watch};
 
@@ -32,6 +31,7 @@
 use crate::outcome::{Outcome, read_body};
 use crate::registry::Registry;
 use crate::relay::Relay;
+use crate::reporter::Report;
 use crate::server::{Body, accept, into_tokio};
 use crate::start::Shared;
 
@@ -118,7 +118,7 @@
         shared: Shared,
         listeners: Listeners,
         mut views: watch::Receiver<Arc<View>>,
-        reports: mpsc::Sender<Strike>,
+        reports: mpsc::Sender<Report>,
         isolated: watch::Sender<bool>,
     ) {
         let crashes = Crashes::new(reports, Arc::clone(&shared.metrics));
@@ -336,11 +336,10 @@
         let outgoing = Rc::new(Outgoing::new(call, method, target, body, deadline));
         let now = Instant::now();
         if let Some(until) = self.registry.crashes().refused_until(now, outgoing.fingerprint) {
-            return Outcome::error(
-                StatusCode::SERVICE_UNAVAILABLE,
-                Some(until - now),
-                "request has crashed several upstreams",
-            );
+            let cause = "request has crashed several upstreams";
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            let outcome = Outcome::error(status, Some(until - now), cause);
+            return Outcome { route: Some(Arc::clone(route)), ..outcome };
         }
         let outcome = if forwarded {
             self.serve_here(arrival, route, outgoing).await
--- a/crates/node/src/reporter.rs
+++ b/crates/node/src/reporter.rs
@@ -1,12 +1,16 @@
 //! Reports of crashes to the other hosts, through the store.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use feed::{LeaseId, Store};
 use quarantine::{STRIKE_TTL, Strike};
-use tokio::sync::mpsc;
+use rand::seq::IteratorRandom;
+use table::View;
+use tokio::sync::{mpsc, watch};
 
+use crate::follow;
 use crate::metrics::Metrics;
 
 /// Maximum number of crashes that wait for the store; further ones are dropped. Requests that crash
@@ -22,28 +26,54 @@
 /// Minimum time between two reports, so that a lost failure domain costs few calls.
 const MIN_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Number of other hosts that are asked to write a report when this host cannot.
+const HELPERS: usize = 2;
+
+/// A crash that is to be written to the store.
+#[derive(Clone, Copy, Debug)]
+pub struct Report {
+    /// The crash.
+    pub strike: Strike,
+    /// Whether another host, which could not write to the store, has sent the report. It is not sent
+    /// on to a third one.
+    pub delegated: bool,
+}
+
 /// Writes reports of crashes to the store.
 pub struct Reporter<S> {
     store: S,
     metrics: Arc<Metrics>,
+    /// Address of this host at which other hosts follow it.
+    own: SocketAddr,
+    views: watch::Receiver<Arc<View>>,
+    http: reqwest::Client,
     lease: Option<(LeaseId, Instant)>,
 }
 
 impl<S: Store> Reporter<S> {
-    /// Creates a reporter without a lease.
-    pub fn new(store: S, metrics: Arc<Metrics>) -> Self {
-        Self { store, metrics, lease: None }
+    /// Creates a reporter without a lease. If the store cannot be reached, it asks other hosts of the
+    /// view to write a report; `own` is the address at which they follow this host.
+    pub fn new(
+        store: S,
+        metrics: Arc<Metrics>,
+        own: SocketAddr,
+        views: watch::Receiver<Arc<View>>,
+        http: reqwest::Client,
+    ) -> Self {
+        Self { store, metrics, own, views, http, lease: None }
     }
 
     /// Writes the received reports in their order until the sender is dropped. A report whose write
     /// fails is written again, which has no further effect if the first write has reached the store.
-    pub async fn run(mut self, mut reports: mpsc::Receiver<Strike>) {
-        while let Some(strike) = reports.recv().await {
+    pub async fn run(mut self, mut reports: mpsc::Receiver<Report>) {
+        while let Some(Report { strike, delegated }) = reports.recv().await {
             while let Err(error) = self.write(strike).await {
                 self.metrics.store_failures.inc();
                 log::info!(error:%; "cannot write the report of a crash to the store");
                 if error.is_lease_not_found() {
                     self.lease = None;
+                } else if !delegated && self.delegate(&strike).await {
+                    break;
                 }
                 tokio::time::sleep(RETRY_BACKOFF).await;
             }
@@ -58,6 +88,24 @@
         self.store.put(&key, &value, lease).await
     }
 
+    /// Asks some other hosts to write a report, because they may reach the store. Returns whether one
+    /// of them accepted it.
+    async fn delegate(&self, strike: &Strike) -> bool {
+        let helpers = {
+            let view = self.views.borrow();
+            let others = view.hosts.values().map(|host| host.peer).filter(|peer| *peer != self.own);
+            others.sample(&mut rand::rng(), HELPERS)
+        };
+        let calls = helpers.into_iter().map(async |address| {
+            let result = follow::report(&self.http, address, strike).await;
+            if let Err(error) = &result {
+                log::info!(host:% = address, error:%; "cannot report a crash to another host");
+            }
+            result.is_ok()
+        });
+        futures::future::join_all(calls).await.contains(&true)
+    }
+
     /// Returns a lease that was granted recently.
     async fn lease(&mut self, now: Instant) -> feed::Result<LeaseId> {
         if let Some((lease, _)) = self.lease.filter(|(_, until)| now < *until) {
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -66,16 +66,17 @@
     let (isolated, isolation) = watch::channel(false);
 
     let traffic = shared.clone();
+    let own_reports = reports.clone();
     let thread = kernel::spawn_local("traffic", move || {
         let listeners = crate::front::Listeners { front, relay };
-        Front::run(traffic, listeners, views, reports, isolated)
+        Front::run(traffic, listeners, views, own_reports, isolated)
     })?;
     process.add_thread(thread);
     let control = shared.clone();
     let listeners = crate::control::Listeners { readiness, peer, directory, metrics };
     // The control thread serves until the process ends, so the process does not wait for it.
     kernel::spawn_local("control", move || {
-        Control::run(control, store, listeners, view, reported, isolation)
+        Control::run(control, store, listeners, view, (reports, reported), isolation)
     })?;
     log::info!(
         host = settings.host,
--- a/crates/node/tests/control.rs
+++ b/crates/node/tests/control.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use standin::{Fault, Kv, StoreFault};
-use support::{Node, World, until};
+use support::{Node, World, client, until};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn new_configuration_applies_and_does_not_revert() {
@@ -241,3 +241,15 @@
     until("the query is refused until its shards are warm", refused).await;
     drop((first, second));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn malformed_report_of_a_crash_is_rejected() {
+    let world = World::start().await;
+    let node = Node::ready("a", &world).await;
+    for query in ["", "?request=1&attempt=2", "?request=x&attempt=2&crashes=1"] {
+        let url = format!("http://{}/crashes{query}", node.peer);
+        let answer = client().post(url).send().await.expect("the host answers");
+        assert_eq!(answer.status(), 400, "{query}");
+    }
+    assert!(world.kv.keys("crashes/").is_empty());
+}
--- a/crates/node/tests/crash.rs
+++ b/crates/node/tests/crash.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use reqwest::Method;
-use standin::{Fault, Shard, StoreFault};
+use standin::{Fault, Impairment, Proxy, Shard, StoreFault};
 use support::{Node, World, until};
 
 /// Part of the path of the request that crashes upstreams.
@@ -98,9 +98,10 @@
 }
 
 /// Crashes an upstream through each host.
-async fn crash_through(nodes: &[Node]) {
+async fn crash_through(world: &World, nodes: &[Node]) {
     for (number, node) in nodes.iter().enumerate() {
-        let call = node.call(Method::POST, "/once/crashing", &format!("first-{number}"));
+        let id = format!("first-{number}-{}", crashes(world, "single"));
+        let call = node.call(Method::POST, "/once/crashing", &id);
         call.send().await.expect("an answer");
         tokio::time::sleep(CLOSE_TIME).await;
     }
@@ -122,8 +123,8 @@
 async fn request_is_refused_by_a_host_that_was_started_later() {
     let world = start(6).await;
     let nodes = [Node::ready("a", &world).await, Node::ready("b", &world).await];
-    crash_through(&nodes).await;
-    crash_through(&nodes[..1]).await;
+    crash_through(&world, &nodes).await;
+    crash_through(&world, &nodes[..1]).await;
     until_refused(&nodes[1]).await;
     for node in nodes {
         node.stop().join().expect("the host stops");
@@ -144,7 +145,7 @@
         Node::ready("c", &world).await,
     ];
     world.kv.set_fault(StoreFault::Losing);
-    crash_through(&nodes).await;
+    crash_through(&world, &nodes).await;
     tokio::time::sleep(REACTION_TIME).await;
     world.kv.set_fault(StoreFault::None);
     until("all crashes are in the store", || async { world.kv.keys("crashes/").len() == 3 }).await;
@@ -156,6 +157,25 @@
     assert_eq!(crashes(&world, "single"), before);
 }
 
+/// Guards against crashes that only a host without a way to the store has seen.
+#[tokio::test(flavor = "multi_thread")]
+async fn crashes_at_a_host_without_the_store_are_reported_by_another() {
+    let world = start(6).await;
+    let store = Proxy::start(world.kv.address()).await.expect("the proxy starts");
+    let nodes = [Node::start("z", store.address(), &[]), Node::ready("a", &world).await];
+    nodes[0].wait_ready().await;
+    until("both hosts are known", || async { world.kv.keys("hosts/").len() == 2 }).await;
+    tokio::time::sleep(REACTION_TIME / 2).await;
+    store.set(Impairment::Cut);
+    for _ in 0..MAX_CRASHES {
+        crash_through(&world, &nodes[..1]).await;
+    }
+    let before = crashes(&world, "single");
+    tokio::time::sleep(REACTION_TIME).await;
+    until_refused(&nodes[1]).await;
+    assert_eq!(crashes(&world, "single"), before);
+}
+
 /// Guards against refusing a query because it was on the upstreams of a failure domain when another
 /// request crashed them all.
 #[tokio::test(flavor = "multi_thread")]
