Check requests that crash upstreams in the soak

Once all faults have ended, a request that crashes the upstream that runs it is repeated at all hosts for 9 s; upstreams restart after 0.8 s.

--- a/crates/soak/src/calm.rs
+++ b/crates/soak/src/calm.rs
@@ -3,6 +3,9 @@
 
 use std::time::{Duration, Instant};
 
+use standin::{Impairment, Proxy, Shard};
+
+use crate::client::{CRASHING, Client, Route};
 use crate::environment::{MAX_UPDATE_LAG, UPSTREAM_DOMAINS};
 use crate::report::Violation;
 use crate::run::{Run, SCHEDULING_SLACK, UNDISTURBED_WINDOW, lock};
@@ -20,6 +23,19 @@
 /// Time in which the requests to an upstream with a rate limit are counted.
 const RATE_LIMIT_WINDOW: Duration = Duration::from_secs(4);
 
+/// Number of crashes from which a request must no longer be sent, and number of times that it may be
+/// sent nevertheless after [`CRASH_REACTION`].
+const MAX_CRASHES: usize = 3;
+
+/// Time that hosts have to tell each other of crashes.
+const CRASH_REACTION: Duration = Duration::from_secs(4);
+
+/// Time for which a request that crashes upstreams is repeated.
+const CRASH_DURATION: Duration = Duration::from_secs(9);
+
+/// Time after which a crashed upstream is back.
+const CRASH_DOWN_TIME: Duration = Duration::from_millis(800);
+
 impl Run {
     /// Waits until the time limits are checked on all hosts, which is rarely the case while faults
     /// overlap, and then writes a configuration, drains an upstream and evacuates a failure domain,
@@ -28,6 +44,7 @@
         tokio::time::sleep(UNDISTURBED_WINDOW + SCHEDULING_SLACK).await;
         lock(&self.environment).configure();
         tokio::join!(self.drain(target), self.evacuate(target + 1), self.limit_rate(target + 2));
+        self.crash_upstreams().await;
     }
 
     /// Sets an upstream to draining, checks that it gets no more requests once the change must have
@@ -60,6 +77,61 @@
         lock(&self.environment).store.remove(&key);
     }
 
+    /// Repeats a request that crashes upstreams at all hosts in turn, and reports a violation if it is
+    /// sent on too often. The check is skipped like that of [`expect_no_requests`].
+    ///
+    /// [`expect_no_requests`]: Self::expect_no_requests
+    async fn crash_upstreams(&self) {
+        let upstreams: Vec<_> = {
+            let environment = lock(&self.environment);
+            let upstreams = environment.upstreams.iter();
+            upstreams
+                .map(|upstream| {
+                    (upstream.id.clone(), upstream.shard.clone(), upstream.proxy.clone())
+                })
+                .collect()
+        };
+        for (_, shard, _) in &upstreams {
+            shard.set_crash_on(CRASHING);
+        }
+        let crashes = || upstreams.iter().map(|(_, shard, _)| shard.crashes()).sum::<usize>();
+        let restarts =
+            upstreams.iter().map(|(id, shard, proxy)| restart_after_crashes(id, shard, proxy));
+        let fronts: Vec<_> = lock(&self.hosts).iter().map(|host| host.front.address()).collect();
+        let started = Instant::now();
+        let mut reaction_end = None;
+        let mut before = 0;
+        let requests = async {
+            for (host, front) in fronts.iter().enumerate().cycle() {
+                if started.elapsed() > CRASH_DURATION {
+                    break;
+                }
+                Client::new(host, *front).send(&self.next_id(), Route::Crashing).await;
+                tokio::time::sleep(Duration::from_millis(100)).await;
+                let crashes = crashes();
+                if crashes >= MAX_CRASHES && reaction_end.is_none() {
+                    reaction_end = Some(Instant::now() + CRASH_REACTION + SCHEDULING_SLACK);
+                }
+                if reaction_end.is_none_or(|end| Instant::now() < end) {
+                    before = crashes;
+                }
+            }
+        };
+        tokio::select! {
+            () = requests => {}
+            _ = futures::future::join_all(restarts) => {}
+        }
+        for (id, shard, proxy) in &upstreams {
+            shard.restart(id);
+            proxy.set(Impairment::None);
+        }
+        let later = crashes() - before;
+        if self.was_undisturbed(started) && later > MAX_CRASHES {
+            let detail = format!("{later} crashes after the first {before}");
+            lock(&self.report).add_violation(Violation::CrashRepeated, detail);
+        }
+    }
+
     /// Waits until the last change must have taken effect, and then reports a violation if the
     /// upstreams get requests within one second. The check is skipped if a host or the store was
     /// disturbed shortly before the change or since.
@@ -102,3 +174,19 @@
         }
     }
 }
+
+/// Starts an upstream again after each of its crashes. While it is down, the proxy before it refuses
+/// connections as the upstream itself does.
+async fn restart_after_crashes(id: &str, shard: &Shard, proxy: &Proxy) {
+    let mut crashes = shard.crashes();
+    loop {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+        if shard.crashes() != crashes {
+            crashes = shard.crashes();
+            proxy.set(Impairment::Cut);
+            tokio::time::sleep(CRASH_DOWN_TIME).await;
+            shard.restart(id);
+            proxy.set(Impairment::None);
+        }
+    }
+}
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -91,7 +91,9 @@
             let bodies = distinct.iter().map(|index| &*environment.upstreams[*index].records);
             greatest(bodies, TOP_K) == exchange.body
         }
-        Route::NonIdempotent | Route::Version(_) => bodies().any(|body| *body == *exchange.body),
+        Route::NonIdempotent | Route::Crashing | Route::Version(_) => {
+            bodies().any(|body| *body == *exchange.body)
+        }
     };
     if !body_matches {
         report.add_violation(
--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -18,6 +18,9 @@
 /// Time that a client waits for an answer; the routes time out after two seconds.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Last segment of the path of [`Route::Crashing`].
+pub const CRASHING: &str = "crashing";
+
 /// Route of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Route {
@@ -25,6 +28,8 @@
     AllShards,
     /// The route whose requests are not idempotent and must run at most once.
     NonIdempotent,
+    /// A non-idempotent request at which upstreams crash if they are told to.
+    Crashing,
     /// The route that exists only in this version of the configuration.
     Version(u64),
 }
@@ -97,6 +102,7 @@
         let path = match exchange.route {
             Route::AllShards => "/all/x".into(),
             Route::NonIdempotent => "/once/x".into(),
+            Route::Crashing => format!("/once/{CRASHING}"),
             Route::Version(version) => format!("/v{version}/x"),
         };
         let request = Request::get(path)
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -24,6 +24,8 @@
     LateWork,
     /// An upstream got more requests than the rate limit that it stated allows.
     RateLimitExceeded,
+    /// A request that had crashed upstreams was sent to more of them.
+    CrashRepeated,
     /// A host that was shutting down gracefully cut an answer off.
     CutAnswer,
     /// A host did not serve requests again after all faults had ended.
