Forward requests only to hosts with a configuration that is new enough

An isolated host that already had a version forwarded to a host that had not, so that a configuration could revert for its callers. The header of forwarded requests names the version, answers name theirs, and a host with an older one refuses. isolated_host_forwards_to_no_host_with_an_older_configuration fails without the check (200 by the old version) and passes with it. The isolated host of the tests has a failure domain of its own, since others would follow its copy of the store.

--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -15,9 +15,13 @@
 use crate::exchange::{Completion, transfer};
 use crate::pool::Pool;
 
-/// Header of forwarded requests. The host that gets one must not forward it again.
+/// Header of forwarded requests, with the version of the configuration that the answer must at least
+/// be based on. The host that gets one must not forward it again.
 pub const FORWARDED_HEADER: &str = "pistachio-forwarded";
 
+/// Header of the answers to forwarded requests, with the version of the configuration in force.
+pub const VERSION_HEADER: &str = "pistachio-config";
+
 /// Maximum number of connections to one host. Each carries one request at a time, so this bounds
 /// the requests in flight there.
 const MAX_CONNECTIONS: usize = 64;
@@ -42,8 +46,14 @@
         Self { name, address, connections, failed_until: Cell::new(None) }
     }
 
-    /// Sends a request to the host and waits for the complete answer.
-    pub async fn send(&self, outgoing: &Outgoing, buffers: &Rc<Buffers>) -> Completion {
+    /// Sends a request to the host and waits for the complete answer. A host whose configuration is
+    /// older than `version` refuses the request.
+    pub async fn send(
+        &self,
+        outgoing: &Outgoing,
+        version: u64,
+        buffers: &Rc<Buffers>,
+    ) -> Completion {
         let pooled = match self.connections.checkout(Instant::now()) {
             Some(pooled) => pooled,
             None => match self.connections.connect(self.address).await {
@@ -57,7 +67,7 @@
         };
         let remaining = outgoing.remaining(Instant::now());
         let mut headers = platform::forward_headers(&outgoing.call, remaining);
-        headers.insert(FORWARDED_HEADER, HeaderValue::from_static("1"));
+        headers.insert(FORWARDED_HEADER, HeaderValue::from(version));
         let request = outgoing.request(headers);
         transfer(pooled, request, &outgoing.call.id, buffers, |_, _| {}).await
     }
@@ -67,10 +77,18 @@
     }
 }
 
+/// Parses the value of [`FORWARDED_HEADER`] or [`VERSION_HEADER`].
+pub fn parse_version(value: &HeaderValue) -> Option<u64> {
+    value.to_str().ok()?.parse().ok()
+}
+
 /// The hosts to which requests can be forwarded, by name.
 #[derive(Default)]
 pub struct Forwarders {
     hosts: BTreeMap<Box<str>, Rc<Forwarder>>,
+    /// Newest version of the configuration in an answer of another host. Callers must not be served
+    /// by an older one after that.
+    pub newest_version: u64,
 }
 
 impl Forwarders {
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -26,7 +26,7 @@
 use crate::endpoint::{Context, Endpoint};
 use crate::exchange::{Completion, Reply, check_connection, preconnect};
 use crate::fanout::{Event, Fanout};
-use crate::forward::FORWARDED_HEADER;
+use crate::forward::{FORWARDED_HEADER, VERSION_HEADER, parse_version};
 use crate::metrics::Status;
 use crate::outcome::{Outcome, read_body};
 use crate::registry::Registry;
@@ -250,7 +250,7 @@
         let waited = self.loop_lag.borrow().max_wait(now);
         let arrival = now.checked_sub(waited).unwrap_or(now);
         let call = Call::read(request.headers());
-        let forwarded = request.headers().contains_key(FORWARDED_HEADER);
+        let forwarded = request.headers().get(FORWARDED_HEADER).and_then(parse_version);
         let id: Box<str> = call.as_ref().map_or("(none)", Call::id_text).into();
         let path: Box<str> = request.uri().path().into();
         let outcome = match call {
@@ -265,6 +265,10 @@
         };
         self.record(arrival, &id, &path, &outcome);
         let mut response = outcome.response;
+        if forwarded.is_some() {
+            let version = self.registry.view().table.as_ref().map_or(0, |table| table.version());
+            response.headers_mut().insert(VERSION_HEADER, HeaderValue::from(version));
+        }
         if self.stopping.get() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
@@ -296,13 +300,14 @@
         );
     }
 
-    /// Serves a request; `forwarded` tells whether another host has forwarded it to this one.
+    /// Serves a request. If another host has forwarded it, `forwarded` is the version of the
+    /// configuration that the answer must at least be based on.
     async fn serve(
         &self,
         arrival: Instant,
         call: Call,
         request: Request<Incoming>,
-        forwarded: bool,
+        forwarded: Option<u64>,
     ) -> Outcome {
         let view = self.registry.view();
         let Some(table) = view.table.as_ref() else {
@@ -312,6 +317,13 @@
                 "no configuration yet",
             );
         };
+        if forwarded.is_some_and(|version| version > table.version()) {
+            return Outcome::error(
+                StatusCode::SERVICE_UNAVAILABLE,
+                Some(UNCONFIGURED_RETRY_DELAY),
+                "configuration older than at the forwarding host",
+            );
+        }
         let target = request.uri().path_and_query().cloned();
         let method = request.method().clone();
         let body = match read_body(request.into_body(), table.limits()).await {
@@ -341,7 +353,7 @@
             let outcome = Outcome::error(status, Some(until - now), cause);
             return Outcome { route: Some(Arc::clone(route)), ..outcome };
         }
-        let outcome = if forwarded {
+        let outcome = if forwarded.is_some() {
             self.serve_here(arrival, route, outgoing).await
         } else {
             self.serve_anywhere(arrival, route, outgoing).await
@@ -385,16 +397,24 @@
     /// Forwards a request to another host. Returns `None` if no host could be reached.
     ///
     /// A request that may have reached another host is not forwarded again, since that host may have
-    /// sent it to as many upstreams as its route allows.
+    /// sent it to as many upstreams as its route allows. A host with an older configuration than this
+    /// one, or than another that has answered, is passed over.
     async fn forward(&self, outgoing: &Outgoing) -> Option<Outcome> {
         let buffers = Rc::clone(&self.registry.context().buffers);
         for _ in 0..MAX_FORWARD_ATTEMPTS {
             let host = self.registry.forwarder(Instant::now())?;
             self.shared.metrics.forwarded_requests.inc();
-            let sending = host.send(outgoing, &buffers);
+            let version = self.registry.forwarded_version();
+            let sending = host.send(outgoing, version, &buffers);
             let error = |status, cause| Some(Outcome::error(status, None, cause));
             return match tokio::time::timeout_at(outgoing.deadline.into(), sending).await {
-                Ok(Completion::Replied(reply)) => {
+                Ok(Completion::Replied(mut reply)) => {
+                    let used = reply.headers.remove(VERSION_HEADER);
+                    let used = used.as_ref().and_then(parse_version).unwrap_or_default();
+                    if used < version && reply.status == StatusCode::SERVICE_UNAVAILABLE {
+                        continue;
+                    }
+                    self.registry.record_forwarded_version(used);
                     let cause = "another host answered";
                     Some(Outcome { cause, ..Outcome::from_reply(reply) })
                 }
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -200,6 +200,19 @@
         state.forwarders.choose(now, state.random.random())
     }
 
+    /// Returns the version of the configuration that forwarded requests must at least be based on.
+    pub fn forwarded_version(&self) -> u64 {
+        let state = self.state.borrow();
+        let own = state.view.table.as_ref().map_or(0, |table| table.version());
+        own.max(state.forwarders.newest_version)
+    }
+
+    /// Records the version of the configuration in an answer of another host.
+    pub fn record_forwarded_version(&self, version: u64) {
+        let newest = &mut self.state.borrow_mut().forwarders.newest_version;
+        *newest = version.max(*newest);
+    }
+
     /// Returns the upstreams to which connections are tried in order to learn whether the host is
     /// isolated, if that is due. One of them is in the host's own failure domain, if there is any.
     pub fn start_isolation_check(&self, now: Instant) -> Option<Vec<Rc<Endpoint>>> {
--- a/crates/node/tests/stranded.rs
+++ b/crates/node/tests/stranded.rs
@@ -22,6 +22,8 @@
 /// One host whose way to each upstream leads through a proxy, and two others.
 struct Hosts {
     world: World,
+    /// The store as the proxied host sees it.
+    store: Kv,
     proxied: Node,
     others: [Node; 2],
     /// The proxies before the upstreams, by the upstream's id.
@@ -32,7 +34,7 @@
 impl Hosts {
     async fn start() -> Self {
         let mut world = World::start().await;
-        for service in ["shard-0", "shard-1", "shard-2"] {
+        for service in ["shard-0", "shard-1", "shard-2", "single"] {
             world.add(service, "perth-3", &record(0)).await;
         }
         let store = Kv::start().await.expect("the store starts");
@@ -48,11 +50,12 @@
         }
         store.put("op/config", &world.kv.get("op/config").expect("a configuration"));
         tokio::spawn(copy_hosts(world.kv.clone(), store.clone()));
-        let proxied = Node::start("proxied", store.address(), &[]);
+        // In a failure domain of its own, no other host reads the store's updates from it.
+        let proxied = Node::start_in("perth-3", "proxied", store.address());
         proxied.wait_ready().await;
         let others =
             [Node::ready("second", &world).await, Node::ready_in("perth-2", "third", &world).await];
-        let hosts = Self { world, proxied, others, proxies, next_id: AtomicUsize::new(0) };
+        let hosts = Self { world, store, proxied, others, proxies, next_id: AtomicUsize::new(0) };
         until("all hosts are advertised", || async { hosts.advertised().await == 3 }).await;
         hosts
     }
@@ -146,6 +149,33 @@
     assert_eq!(served, sent);
 }
 
+/// Guards against a configuration that reverts for callers of an isolated host, because the host that
+/// serves them has an older one.
+#[tokio::test(flavor = "multi_thread")]
+async fn isolated_host_forwards_to_no_host_with_an_older_configuration() {
+    let hosts = Hosts::start().await;
+    hosts.cut("", Impairment::Cut);
+    hosts.call(REACTION_TIME).await;
+    assert_eq!(hosts.proxied.get("/one/x", "before").await.status(), 200);
+    // Only the isolated host hears of the next version, in which the route leads to another service.
+    let config = hosts.store.get("op/config").expect("a configuration");
+    let config = String::from_utf8(config.into()).expect("text");
+    let next = config
+        .replace("\"version\":7", "\"version\":8")
+        .replace("\"service\":\"single\"", "\"service\":\"shard-0\"");
+    hosts.store.put("op/config", next.as_bytes());
+    until("the host has the next version", || async {
+        let metrics = hosts.proxied.metrics().await;
+        metrics.contains("config_version 8")
+    })
+    .await;
+    tokio::time::sleep(REACTION_TIME / 4).await;
+    for number in 0..10 {
+        let answer = hosts.proxied.get("/one/x", &format!("after-{number}")).await;
+        assert_ne!(answer.status(), 200, "no host that reaches upstreams has the version");
+    }
+}
+
 /// Guards against a query that runs on more upstreams of a shard than its route allows, because it
 /// is sent again through another host when its own host loses the upstreams.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -201,6 +201,11 @@
         Self::start_with(&settings(name, store, seeds))
     }
 
+    /// Starts a host in a failure domain.
+    pub fn start_in(domain: &str, name: &str, store: SocketAddr) -> Self {
+        Self::start_with(&settings_in(domain, name, store, &[]))
+    }
+
     fn start_with(settings: &str) -> Self {
         let settings = Settings::parse("test", settings).expect("the settings are complete");
         let metrics = free_address();
@@ -222,7 +227,7 @@
 
     /// Starts a host in a failure domain and waits until it is ready.
     pub async fn ready_in(domain: &str, name: &str, world: &World) -> Self {
-        let node = Self::start_with(&settings_in(domain, name, world.kv.address(), &[]));
+        let node = Self::start_in(domain, name, world.kv.address());
         node.wait_ready().await;
         node
     }
