Do not quarantine a request that was answered seconds before

Many repetitions of one popular request can be on the upstreams of a lost failure domain, or at a host whose connections are all reset, and three of them sufficed to refuse it everywhere for ten minutes: once refused, it gets no answer that could refute the crashes.

--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -214,7 +214,7 @@
         );
         endpoint.context.crashes.check_broken(Instant::now(), &outgoing, &endpoint);
     } else if matches!(&completion, Completion::Replied(reply) if reply.is_usable()) {
-        endpoint.context.crashes.record_answer(outgoing.fingerprint);
+        endpoint.context.crashes.record_answer(Instant::now(), outgoing.fingerprint);
     }
     attempt.end(Instant::now(), time, &completion);
     Finished { part, endpoint, completion, time }
--- a/crates/node/src/crashes.rs
+++ b/crates/node/src/crashes.rs
@@ -69,8 +69,8 @@
     }
 
     /// Records that an upstream has answered a request.
-    pub fn record_answer(&self, request: Fingerprint) {
-        self.quarantine.borrow_mut().record_answer(request);
+    pub fn record_answer(&self, now: Instant, request: Fingerprint) {
+        self.quarantine.borrow_mut().record_answer(now, request);
     }
 
     /// Returns whether a request may be the cause of a crash.
--- a/crates/node/src/relay_call.rs
+++ b/crates/node/src/relay_call.rs
@@ -152,7 +152,7 @@
             let endpoint = Rc::clone(attempt.endpoint());
             let (completion, time) = match end {
                 End::Answered { stamp, load, time } => {
-                    endpoint.context.crashes.record_answer(self.outgoing.fingerprint);
+                    endpoint.context.crashes.record_answer(now, self.outgoing.fingerprint);
                     (Completion::Merged { stamp, load }, time)
                 }
                 End::Refused { replaced } => (Completion::Refused { replaced }, Duration::ZERO),
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -21,6 +21,7 @@
 
 mod fingerprint;
 mod quarantine;
+mod recent;
 mod strike;
 
 pub use crate::fingerprint::{Fingerprint, fingerprint};
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use crate::recent::Recent;
 use crate::{AttemptId, Fingerprint, Strike};
 
 /// Number of crashes from which a request is refused.
@@ -37,9 +38,11 @@
 /// The requests that were on upstreams when these crashed.
 ///
 /// A request that an upstream answers is not the cause, so an answer refutes all strikes known by
-/// then. What remains is a request that has crashed upstreams and was never answered.
+/// then, and those that become known up to some seconds later. What remains is a request that has
+/// crashed upstreams and was not answered.
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
+    answered: Recent,
     requests: BTreeMap<Fingerprint, BTreeMap<AttemptId, Record>>,
 }
 
@@ -71,7 +74,8 @@
     }
 
     /// Records that an upstream has answered the request.
-    pub fn record_answer(&mut self, request: Fingerprint) {
+    pub fn record_answer(&mut self, now: Instant, request: Fingerprint) {
+        self.answered.insert(now, request);
         let attempts = self.requests.get_mut(&request).into_iter().flatten();
         attempts.for_each(|(_, record)| record.refuted = true);
     }
@@ -116,7 +120,8 @@
         if !self.requests.contains_key(&request) {
             self.make_room(now);
         }
-        let new = Record { crashes: 0, expires: now + STRIKE_TTL, refuted: false };
+        let refuted = self.answered.contains(now, request);
+        let new = Record { crashes: 0, expires: now + STRIKE_TTL, refuted };
         let attempts = self.requests.entry(request).or_default();
         attempts.retain(|_, record| now < record.expires);
         attempts.entry(attempt).or_insert(new)
