--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -431,6 +431,7 @@
         None
     }
 
+    /// Serves a request with the upstreams that this host reaches.
     async fn serve_here(&self, arrival: Instant, route: &Route, outgoing: Rc<Outgoing>) -> Outcome {
         match &route.target {
             Target::Service(service) => self.single(route, service, outgoing).await,
