Take connections from a pool in one place

Relay requests and forwarded requests each took an idle connection or opened one; both call Pool::get now. The time of an answer is read once for the isolation and the rate limit. No behaviour has changed.

--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -98,9 +98,10 @@
         },
     };
     transfer(pooled, request, id, &endpoint.context.buffers, |status, answer| {
-        endpoint.context.record_answer(Instant::now());
+        let now = Instant::now();
+        endpoint.context.record_answer(now);
         if status != StatusCode::MISDIRECTED_REQUEST {
-            endpoint.record_answer(Instant::now(), sent, answer);
+            endpoint.record_answer(now, sent, answer);
         }
     })
     .await
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -54,16 +54,13 @@
         version: u64,
         buffers: &Rc<Buffers>,
     ) -> Completion {
-        let pooled = match self.connections.checkout(Instant::now()) {
-            Some(pooled) => pooled,
-            None => match self.connections.connect(self.address).await {
-                Ok(pooled) => pooled,
-                Err(error) => {
-                    log::info!(host = self.name, error:%; "could not connect to forward a request");
-                    self.failed_until.set(Some(Instant::now() + FAILURE_BACKOFF));
-                    return Completion::Unsent;
-                }
-            },
+        let pooled = match self.connections.get(Instant::now(), self.address).await {
+            Ok(pooled) => pooled,
+            Err(error) => {
+                log::info!(host = self.name, error:%; "could not connect to forward a request");
+                self.failed_until.set(Some(Instant::now() + FAILURE_BACKOFF));
+                return Completion::Unsent;
+            }
         };
         let remaining = outgoing.remaining(Instant::now());
         let mut headers = platform::forward_headers(&outgoing.call, remaining);
--- a/crates/node/src/pool.rs
+++ b/crates/node/src/pool.rs
@@ -52,6 +52,22 @@
         None
     }
 
+    /// Returns an idle connection, or opens one if there is none.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`connect`](Self::connect).
+    pub async fn get(
+        self: &Rc<Self>,
+        now: Instant,
+        address: SocketAddr,
+    ) -> Result<PooledConnection> {
+        match self.checkout(now) {
+            Some(pooled) => Ok(pooled),
+            None => self.connect(address).await,
+        }
+    }
+
     /// Opens a connection, also beyond the maximum.
     ///
     /// # Errors
--- a/crates/node/src/relay_call.rs
+++ b/crates/node/src/relay_call.rs
@@ -116,13 +116,11 @@
     async fn open(&mut self) -> Result<Option<Batch>, Failure> {
         self.metrics.relay_requests.inc();
         let peer = Rc::clone(&self.relay.peer);
-        let mut pooled = match peer.connections.checkout(Instant::now()) {
-            Some(pooled) => pooled,
-            None => peer.connections.connect(peer.address).await.map_err(|error| {
-                log::debug!(host = peer.name, error:%; "could not connect to a relay");
-                Failure::Unsent
-            })?,
-        };
+        let pooled = peer.connections.get(Instant::now(), peer.address).await;
+        let mut pooled = pooled.map_err(|error| {
+            log::debug!(host = peer.name, error:%; "could not connect to a relay");
+            Failure::Unsent
+        })?;
         let remaining = self.outgoing.remaining(Instant::now());
         let mut headers = platform::forward_headers(&self.outgoing.call, remaining);
         let value = HeaderValue::try_from(self.request.to_string()).map_err(|_| Failure::Unsent)?;
--- a/crates/pick/src/lib.rs
+++ b/crates/pick/src/lib.rs
@@ -1,9 +1,8 @@
 //! Choice of the upstream, or of the relay, that gets the next request of `pistachio-node`.
 //!
 //! A [`Replica`] holds what this host has observed of one upstream or relay: requests in flight,
-//! the ratio of its response times to the typical ones, failures, refusals, whether it is cold, and the rate limit
-//! that it states.
-//! [`choose`] takes the replica with the lowest cost, which is the expected response time with
+//! the ratio of its response times to the typical ones, failures, refusals, whether it is cold, and
+//! the rate limit that it states. [`choose`] takes the replica with the lowest cost, which is the expected response time with
 //! penalties for failures, stalls and the distance to the replica. Only the outcomes of requests
 //! count; health endpoints, which may lag or be wrong, do not. [`Isolation`] tells when the host
 //! cannot reach any upstream. Reasons are in
