--- a/crates/node/tests/crash.rs
+++ b/crates/node/tests/crash.rs
@@ -37,6 +37,31 @@
     world.of(service).into_iter().map(Shard::crashes).sum()
 }
 
+/// Sends the request that crashes upstreams to a host.
+async fn send(node: &Node, id: &str) -> reqwest::Response {
+    let call = node.call(Method::POST, "/once/crashing", id).body("same");
+    call.send().await.expect("an answer")
+}
+
+/// Crashes an upstream through each host.
+async fn crash_through(world: &World, nodes: &[Node]) {
+    for (number, node) in nodes.iter().enumerate() {
+        let id = format!("first-{number}-{}", crashes(world, "single"));
+        assert_eq!(send(node, &id).await.status(), 502);
+        // Until all connections of the upstream are closed, the next request may meet one of them.
+        tokio::time::sleep(CLOSE_TIME).await;
+    }
+}
+
+/// Waits until a host refuses the request.
+async fn until_refused(node: &Node) {
+    until("the request is refused", || async {
+        let answer = send(node, "again").await;
+        answer.status() == 503 && answer.headers().contains_key("retry-after")
+    })
+    .await;
+}
+
 /// Guards against a request that crashes one upstream after the other because each host, and each
 /// repetition, sends it on again.
 #[tokio::test(flavor = "multi_thread")]
@@ -47,19 +72,13 @@
         Node::ready("b", &world).await,
         Node::ready_in("perth-2", "c", &world).await,
     ];
-    for (number, node) in nodes.iter().enumerate() {
-        let call = node.call(Method::POST, "/once/crashing", &format!("first-{number}"));
-        assert_eq!(call.body("same").send().await.expect("an answer").status(), 502);
-        // Until all connections of the upstream are closed, the next request may meet one of them.
-        tokio::time::sleep(CLOSE_TIME).await;
-    }
+    crash_through(&world, &nodes).await;
     assert_eq!(crashes(&world, "single"), MAX_CRASHES);
     tokio::time::sleep(REACTION_TIME).await;
     for number in 0..4 {
         for node in &nodes {
             let id = format!("later-{}-{number}", node.front);
-            let call = node.call(Method::POST, "/once/crashing", &id).body("same");
-            let answer = call.send().await.expect("an answer");
+            let answer = send(node, &id).await;
             assert!([502, 503].contains(&answer.status().as_u16()), "{}", answer.status());
             let refused = answer.status() == 503;
             assert_eq!(refused, answer.headers().contains_key("retry-after"));
@@ -97,26 +116,6 @@
     .await;
 }
 
-/// Crashes an upstream through each host.
-async fn crash_through(world: &World, nodes: &[Node]) {
-    for (number, node) in nodes.iter().enumerate() {
-        let id = format!("first-{number}-{}", crashes(world, "single"));
-        let call = node.call(Method::POST, "/once/crashing", &id);
-        call.send().await.expect("an answer");
-        tokio::time::sleep(CLOSE_TIME).await;
-    }
-}
-
-/// Waits until a host refuses the request.
-async fn until_refused(node: &Node) {
-    until("the request is refused", || async {
-        let call = node.call(Method::POST, "/once/crashing", "again");
-        let answer = call.send().await.expect("an answer");
-        answer.status() == 503 && answer.headers().contains_key("retry-after")
-    })
-    .await;
-}
-
 /// Guards against a restarted host that sends the request on again, because only the others know
 /// of the crashes.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/soak/src/calm.rs
+++ b/crates/soak/src/calm.rs
@@ -3,10 +3,10 @@
 
 use std::time::{Duration, Instant};
 
-use standin::{Impairment, Proxy, Shard};
+use standin::Impairment;
 
 use crate::client::{CRASHING, Client, Route};
-use crate::environment::{MAX_UPDATE_LAG, UPSTREAM_DOMAINS};
+use crate::environment::{MAX_UPDATE_LAG, UPSTREAM_DOMAINS, Upstream};
 use crate::report::Violation;
 use crate::run::{Run, SCHEDULING_SLACK, UNDISTURBED_WINDOW, lock};
 
@@ -82,21 +82,12 @@
     ///
     /// [`expect_no_requests`]: Self::expect_no_requests
     async fn crash_upstreams(&self) {
-        let upstreams: Vec<_> = {
-            let environment = lock(&self.environment);
-            let upstreams = environment.upstreams.iter();
-            upstreams
-                .map(|upstream| {
-                    (upstream.id.clone(), upstream.shard.clone(), upstream.proxy.clone())
-                })
-                .collect()
-        };
-        for (_, shard, _) in &upstreams {
-            shard.set_crash_on(CRASHING);
+        let upstreams = lock(&self.environment).upstreams.clone();
+        for upstream in &upstreams {
+            upstream.shard.set_crash_on(CRASHING);
         }
-        let crashes = || upstreams.iter().map(|(_, shard, _)| shard.crashes()).sum::<usize>();
-        let restarts =
-            upstreams.iter().map(|(id, shard, proxy)| restart_after_crashes(id, shard, proxy));
+        let crashes = || upstreams.iter().map(|upstream| upstream.shard.crashes()).sum::<usize>();
+        let restarts = upstreams.iter().map(restart_after_crashes);
         let fronts: Vec<_> = lock(&self.hosts).iter().map(|host| host.front.address()).collect();
         let started = Instant::now();
         let mut reaction_end = None;
@@ -121,10 +112,7 @@
             () = requests => {}
             _ = futures::future::join_all(restarts) => {}
         }
-        for (id, shard, proxy) in &upstreams {
-            shard.restart(id);
-            proxy.set(Impairment::None);
-        }
+        upstreams.iter().for_each(restart);
         let later = crashes() - before;
         if self.was_undisturbed(started) && later > MAX_CRASHES {
             let detail = format!("{later} crashes after the first {before}");
@@ -177,16 +165,21 @@
 
 /// Starts an upstream again after each of its crashes. While it is down, the proxy before it refuses
 /// connections as the upstream itself does.
-async fn restart_after_crashes(id: &str, shard: &Shard, proxy: &Proxy) {
-    let mut crashes = shard.crashes();
+async fn restart_after_crashes(upstream: &Upstream) {
+    let mut crashes = upstream.shard.crashes();
     loop {
         tokio::time::sleep(Duration::from_millis(2)).await;
-        if shard.crashes() != crashes {
-            crashes = shard.crashes();
-            proxy.set(Impairment::Cut);
+        if upstream.shard.crashes() != crashes {
+            crashes = upstream.shard.crashes();
+            upstream.proxy.set(Impairment::Cut);
             tokio::time::sleep(CRASH_DOWN_TIME).await;
-            shard.restart(id);
-            proxy.set(Impairment::None);
+            restart(upstream);
         }
     }
 }
+
+/// Starts an upstream again, and lets the proxy before it accept connections.
+fn restart(upstream: &Upstream) {
+    upstream.shard.restart(&upstream.id);
+    upstream.proxy.set(Impairment::None);
+}
--- a/crates/soak/src/environment.rs
+++ b/crates/soak/src/environment.rs
@@ -25,6 +25,7 @@
 pub const MAX_UPDATE_LAG: Duration = Duration::from_secs(3);
 
 /// An upstream.
+#[derive(Clone)]
 pub struct Upstream {
     /// Instance id, `SERVICE@DOMAIN`.
     pub id: Box<str>,
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod fleet;
 mod kv;
+mod listener;
 mod platform;
 mod port;
 mod proxy;
--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -10,6 +10,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+use crate::listener::serve_while_up;
+
 /// Size in bytes of the buffer that forwards one direction of a connection.
 const BUFFER_BYTES: usize = 16 * 1024;
 
@@ -67,29 +69,17 @@
         self.impairment.send_modify(|state| *state = (impairment, state.1 + 1));
     }
 
-    async fn serve(self, mut listener: TcpListener, target: SocketAddr) {
-        let mut impairment = self.impairment.subscribe();
-        loop {
-            tokio::select! {
-                _ = impairment.wait_for(|(impairment, _)| *impairment == Impairment::Cut) => {}
-                () = self.accept(&listener, target) => return,
-            }
-            drop(listener);
-            // The sender lives as long as `self`, so this cannot fail.
-            let _ = impairment.wait_for(|(impairment, _)| *impairment != Impairment::Cut).await;
-            match TcpListener::bind(self.address).await {
-                Ok(bound) => listener = bound,
-                Err(error) => panic!("cannot bind {} again: {error}", self.address),
-            }
-        }
+    async fn serve(self, listener: TcpListener, target: SocketAddr) {
+        let impairment = self.impairment.subscribe();
+        let is_up = |(impairment, _): &(Impairment, u64)| *impairment != Impairment::Cut;
+        let accept = |client| self.accept(client, target);
+        serve_while_up(self.address, listener, impairment, is_up, accept).await;
     }
 
-    async fn accept(&self, listener: &TcpListener, target: SocketAddr) {
-        while let Ok((client, _)) = listener.accept().await {
-            let impairment = self.impairment.subscribe();
-            if impairment.borrow().0 == Impairment::Reset {
-                continue;
-            }
+    fn accept(&self, client: TcpStream, target: SocketAddr) {
+        let impairment = self.impairment.subscribe();
+        let is_reset = impairment.borrow().0 == Impairment::Reset;
+        if !is_reset {
             tokio::spawn(connect(client, target, impairment));
         }
     }
--- a/crates/standin/src/shard.rs
+++ b/crates/standin/src/shard.rs
@@ -13,6 +13,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+use crate::listener::serve_while_up;
+
 /// Number of requests that may wait for a slot; further ones are refused.
 const MAX_WAITING: usize = 12;
 
@@ -171,36 +173,22 @@
         self.shared.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Accepts connections while the upstream is up. The sender of `up` lives as long as `self`, so
-    /// waiting for it cannot fail.
-    async fn serve(self, mut listener: TcpListener) {
+    /// Accepts connections while the upstream is up.
+    async fn serve(self, listener: TcpListener) {
+        let up = self.up.subscribe();
+        serve_while_up(self.address, listener, up, |up| *up, |stream| self.accept(stream)).await;
+    }
+
+    fn accept(&self, stream: TcpStream) {
+        let shard = self.clone();
         let mut up = self.up.subscribe();
-        loop {
+        tokio::spawn(async move {
             tokio::select! {
-                _ = up.wait_for(|up| !up) => {}
-                () = self.accept(&listener) => return,
-            }
-            drop(listener);
-            let _ = up.wait_for(|up| *up).await;
-            match TcpListener::bind(self.address).await {
-                Ok(bound) => listener = bound,
-                Err(error) => panic!("cannot bind {} again: {error}", self.address),
+                // I/O errors are ignored, since many tests break connections on purpose.
+                result = shard.serve_connection(stream) => result.ok(),
+                _ = up.wait_for(|up| !up) => None,
             }
-        }
-    }
-
-    async fn accept(&self, listener: &TcpListener) {
-        while let Ok((stream, _)) = listener.accept().await {
-            let shard = self.clone();
-            let mut up = self.up.subscribe();
-            tokio::spawn(async move {
-                tokio::select! {
-                    // I/O errors are ignored, since many tests break connections on purpose.
-                    result = shard.serve_connection(stream) => result.ok(),
-                    _ = up.wait_for(|up| !up) => None,
-                }
-            });
-        }
+        });
     }
 
     async fn serve_connection(&self, mut stream: TcpStream) -> Result<()> {
