Log the era of the store with each read of all entries

A host that reads all entries says now in which era the store is, at which revision the answer is, and at which its own copy is.

--- a/crates/feed/src/batch.rs
+++ b/crates/feed/src/batch.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::Revision;
+use crate::{Era, Revision};
 
 /// A written entry.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -29,6 +29,10 @@
 pub struct Batch {
     /// Whether the batch contains all entries, so that entries missing from it are removed.
     pub full: bool,
+    /// Era of the store in which all revisions of the batch count; 0 if the sender does not state it,
+    /// as hosts of earlier versions.
+    #[serde(default)]
+    pub era: Era,
     /// Revision up to which the batch is complete.
     pub revision: Revision,
     /// Written entries.
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -15,7 +15,7 @@
 //! let now = Instant::now();
 //! let mut mirror = Mirror::new(|_key, _value| Resource::Unusable);
 //! let item = Item { key: "a".into(), value: "1".into(), revision: 5 };
-//! mirror.apply(now, Batch { full: true, revision: 5, puts: vec![item], removes: vec![] });
+//! mirror.apply(now, Batch { full: true, revision: 5, puts: vec![item], ..Batch::default() });
 //! assert_eq!(mirror.revision(), 5);
 //! assert_eq!(mirror.since(4).puts.len(), 1);
 //! ```
@@ -36,8 +36,12 @@
 pub use crate::source::{Peer, Source, Sources};
 pub use crate::store::Store;
 
-/// Revision of the store, which grows with each change.
+/// Revision of the store, which grows with each change within an era.
 pub type Revision = u64;
 
+/// Number of times that the store has come back from an older copy of itself, counted by the store.
+/// Revisions go back in a new era and are used again.
+pub type Era = u64;
+
 /// Identifier of a lease in the store.
 pub type LeaseId = u64;
--- a/crates/feed/src/mirror.rs
+++ b/crates/feed/src/mirror.rs
@@ -151,7 +151,7 @@
                 removes.extend(keys.iter().cloned().map(removal));
             }
         }
-        Batch { full, revision: self.revision, puts: puts.collect(), removes }
+        Batch { full, era: 0, revision: self.revision, puts: puts.collect(), removes }
     }
 
     /// Returns whether the store has an entry with this key; expired entries do not count.
--- a/crates/feed/tests/feed.rs
+++ b/crates/feed/tests/feed.rs
@@ -43,6 +43,10 @@
     Batch { revision, puts: vec![item(key, value, revision)], ..Batch::default() }
 }
 
+fn full(revision: u64, puts: Vec<Item>) -> Batch {
+    Batch { full: true, revision, puts, ..Batch::default() }
+}
+
 fn remove(key: &str, revision: u64) -> Batch {
     let removal = Removal { key: key.into(), revision };
     Batch { revision, removes: vec![removal], ..Batch::default() }
@@ -80,11 +84,13 @@
     let mut mirror = Mirror::new(decode);
     mirror.apply(now, put("h1", "x", 1));
     let removes = [2, 4].map(|revision| Removal { key: "h1".into(), revision }).to_vec();
-    let batch = Batch { full: false, revision: 4, puts: vec![item("h1", "x", 3)], removes };
+    let puts = vec![item("h1", "x", 3)];
+    let batch = Batch { revision: 4, puts, removes, ..Batch::default() };
     mirror.apply(now, batch);
     assert!(!mirror.contains("h1"));
     let removes = vec![Removal { key: "h2".into(), revision: 5 }];
-    mirror.apply(now, Batch { full: false, revision: 6, puts: vec![item("h2", "x", 6)], removes });
+    let puts = vec![item("h2", "x", 6)];
+    mirror.apply(now, Batch { revision: 6, puts, removes, ..Batch::default() });
     assert!(mirror.contains("h2"));
 }
 
@@ -95,7 +101,7 @@
     mirror.apply(now, put("h1", "x", 1));
     mirror.apply(now, remove("h1", 5));
     assert!(!mirror.apply(now, put("h1", "x", 3)));
-    let full = Batch { full: true, revision: 4, puts: vec![item("h1", "x", 3)], removes: vec![] };
+    let full = full(4, vec![item("h1", "x", 3)]);
     assert!(!mirror.apply(now, full));
     assert!(!mirror.contains("h1"));
 }
@@ -106,7 +112,7 @@
     let mut mirror = Mirror::new(decode);
     mirror.apply(now, put("h1", "x", 1));
     mirror.apply(now, put("h2", "x", 2));
-    let full = Batch { full: true, revision: 9, puts: vec![item("h2", "x", 2)], removes: vec![] };
+    let full = full(9, vec![item("h2", "x", 2)]);
     assert!(mirror.apply(now, full));
     assert!(!mirror.contains("h1"));
     assert!(mirror.contains("h2"));
@@ -117,7 +123,7 @@
     let now = Instant::now();
     let mut mirror = Mirror::new(decode);
     mirror.apply(now, put("h1", "x", 15));
-    let full = Batch { full: true, revision: 9, puts: vec![], removes: vec![] };
+    let full = full(9, vec![]);
     assert!(!mirror.apply(now, full));
     assert!(mirror.contains("h1"));
 }
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -208,6 +208,14 @@
         let now = Instant::now();
         match result {
             Ok(batch) => {
+                if batch.full {
+                    log::info!(
+                        era = batch.era,
+                        revision = batch.revision,
+                        own_revision = after;
+                        "read all entries of the store"
+                    );
+                }
                 self.sources.borrow_mut().succeeded(Source::Store);
                 self.record_contact(now, now, true);
                 let delay = if self.apply(now, batch) { WATCH_DELAY } else { MIN_READ_DELAY };
@@ -289,6 +297,7 @@
     fn apply(&self, now: Instant, batch: Batch) -> bool {
         log::debug!(
             full = batch.full,
+            era = batch.era,
             revision = batch.revision,
             puts = batch.puts.len(),
             removes = batch.removes.len();
