--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use kernel::{Process, Running};
@@ -22,6 +23,8 @@
 /// The store and the upstreams of a test.
 pub struct World {
     pub kv: Kv,
+    /// Number of entries that the upstreams have written.
+    entries: AtomicU64,
     pub shards: BTreeMap<Box<str>, Shard>,
 }
 
@@ -57,7 +60,7 @@
     /// `single`, and writes a configuration with routes to them.
     pub async fn start() -> Self {
         let kv = Kv::start().await.expect("the store starts");
-        let mut world = Self { kv, shards: BTreeMap::new() };
+        let mut world = Self { kv, entries: AtomicU64::default(), shards: BTreeMap::new() };
         for shard in 0..3_u8 {
             for domain in ["perth-1", "perth-2"] {
                 let records = [record(shard), record(100 + shard)].concat();
@@ -93,10 +96,11 @@
 
     fn write_entry(&self, id: &str, state: &str, warmup_left_ms: u64) {
         let (service, domain) = id.split_once('@').expect("ids have the form service@domain");
+        let sequence = self.entries.fetch_add(1, Ordering::Relaxed);
         let entry = json!({
             "service": service, "address": self.shards[id].address(), "zone": domain,
             "version": "v1", "capacity": 2, "state": state,
-            "warmup_left_ms": warmup_left_ms, "sequence": 1,
+            "warmup_left_ms": warmup_left_ms, "sequence": sequence,
         });
         self.kv.put(&format!("servers/{id}"), entry.to_string().as_bytes());
     }
--- a/crates/standin/src/kv.rs
+++ b/crates/standin/src/kv.rs
@@ -7,7 +7,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use ::platform::names::{KEEP, LEASE, LEASE_END, RANGE, TRANSACTION, WATCH};
+use ::platform::names::{ERA, KEEP, LEASE, LEASE_END, RANGE, TRANSACTION, WATCH};
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
@@ -41,6 +41,7 @@
     Losing,
 }
 
+#[derive(Clone)]
 struct Item {
     value: Box<[u8]>,
     revision: u64,
@@ -56,8 +57,9 @@
     value: Option<Box<[u8]>>,
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct State {
+    era: u64,
     revision: u64,
     items: BTreeMap<Box<str>, Item>,
     /// End and time to live of each lease.
@@ -69,6 +71,9 @@
     calls: u64,
 }
 
+/// A copy of the store at one moment.
+pub struct Snapshot(State);
+
 struct Shared {
     state: Mutex<State>,
     changed: watch::Sender<u64>,
@@ -90,7 +95,7 @@
     pub async fn start() -> std::io::Result<Self> {
         let listener = TcpListener::bind((std::net::Ipv4Addr::LOCALHOST, 0)).await?;
         let address = listener.local_addr()?;
-        let state = Mutex::new(State { revision: 10, ..State::default() });
+        let state = Mutex::new(State { era: 1, revision: 10, ..State::default() });
         let shared = Arc::new(Shared { state, changed: watch::channel(0).0 });
         let kv = Self { address, shared };
         tokio::spawn(kv.clone().serve(listener));
@@ -139,6 +144,26 @@
         state.compacted = state.revision;
     }
 
+    /// Returns a copy of the store, from which it can be [restored](Self::restore).
+    pub fn snapshot(&self) -> Snapshot {
+        Snapshot(self.shared.state().clone())
+    }
+
+    /// Loses everything since a snapshot was taken, leases too, and starts the next era. Revisions
+    /// are used again.
+    pub fn restore(&self, snapshot: &Snapshot) {
+        let mut state = self.shared.state();
+        let restored = State {
+            era: state.era + 1,
+            fault: state.fault,
+            calls: state.calls,
+            ..snapshot.0.clone()
+        };
+        *state = restored;
+        drop(state);
+        self.shared.notify_watchers();
+    }
+
     /// Ends all leases and removes their keys, as may happen during an outage.
     pub fn expire_leases(&self) {
         let mut state = self.shared.state();
@@ -180,7 +205,16 @@
         self.changed.send_modify(|count| *count += 1);
     }
 
+    /// Answers a call; every answer states the era.
     async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let (status, body) = self.perform(request).await;
+        let mut response = Response::new(Full::new(Bytes::from(body.to_string())));
+        *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_REQUEST);
+        response.headers_mut().insert(ERA, self.state().era.into());
+        response
+    }
+
+    async fn perform(&self, request: Request<Incoming>) -> (u16, Value) {
         let path: Box<str> = request.uri().path().into();
         let query: Box<str> = request.uri().query().unwrap_or_default().into();
         let body = request.into_body().collect().await.map(http_body_util::Collected::to_bytes);
@@ -193,7 +227,7 @@
             state.fault
         };
         match fault {
-            StoreFault::Busy => return response(503, &Value::Null),
+            StoreFault::Busy => return (503, Value::Null),
             StoreFault::Silent => std::future::pending().await,
             StoreFault::None | StoreFault::Losing => {}
         }
@@ -211,7 +245,7 @@
                 std::future::pending::<()>().await;
             }
         }
-        response(status, &answer)
+        (status, answer)
     }
 
     fn range(&self, query: &str) -> (u16, Value) {
@@ -242,7 +276,7 @@
                 if state.fault == StoreFault::Busy {
                     return (503, Value::Null);
                 }
-                if after < state.compacted {
+                if after < state.compacted || after > state.revision {
                     return (410, Value::Null);
                 }
                 let mut rest = state.history.iter().filter(|event| event.revision > after);
@@ -369,9 +403,3 @@
         .find(|(key, _)| *key == name)
         .map(|(_, value)| value.replace("%2F", "/").replace("%40", "@"))
 }
-
-fn response(status: u16, body: &Value) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from(body.to_string())));
-    *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_REQUEST);
-    response
-}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -19,7 +19,7 @@
 mod upstream;
 
 pub use crate::fleet::Fleet;
-pub use crate::kv::{Kv, StoreFault};
+pub use crate::kv::{Kv, Snapshot, StoreFault};
 pub use crate::platform::{Faults, Platform};
 pub use crate::port::free_address;
 pub use crate::proxy::{Impairment, Proxy};
