Order changes of the store by its era and then by its revision

Cause: a host ordered changes by the store's revision alone. In a new era revisions go back and are used again, so the host ignored what it read, went on watching from a revision of the earlier era, and took other changes for known. The class of fault: an order that holds within one incarnation of a source is used across incarnations.

Positions are now ordered by era and then by revision, in the mirror, in the reads of the store and between hosts. A new era begins with a read of all entries. The older copy must not undo what writers had done: a configuration keeps the greatest version, an upstream that drains or has left stays so unless it has written a newer entry, entries that the store has lost stay until their writers can write them again, and a host takes a new lease.

--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -9,21 +9,22 @@
 //!
 //! ```
 //! use std::time::Instant;
-//! use feed::{Batch, Item, Mirror};
+//! use feed::{Batch, Item, Mirror, Position};
 //! use table::Resource;
 //!
 //! let now = Instant::now();
 //! let mut mirror = Mirror::new(|_key, _value| Resource::Unusable);
 //! let item = Item { key: "a".into(), value: "1".into(), revision: 5 };
 //! mirror.apply(now, Batch { full: true, revision: 5, puts: vec![item], ..Batch::default() });
-//! assert_eq!(mirror.revision(), 5);
-//! assert_eq!(mirror.since(4).puts.len(), 1);
+//! assert_eq!(mirror.position().revision, 5);
+//! assert_eq!(mirror.since(Position { era: 0, revision: 4 }).puts.len(), 1);
 //! ```
 
 mod batch;
 mod error;
 mod freshness;
 mod mirror;
+mod position;
 mod registration;
 mod source;
 mod store;
@@ -32,6 +33,7 @@
 pub use crate::error::{Error, Result};
 pub use crate::freshness::Freshness;
 pub use crate::mirror::Mirror;
+pub use crate::position::Position;
 pub use crate::registration::{Action, Registration};
 pub use crate::source::{Peer, Source, Sources};
 pub use crate::store::Store;
--- a/crates/feed/src/mirror.rs
+++ b/crates/feed/src/mirror.rs
@@ -1,13 +1,15 @@
 //! Local copy of the store's entries.
 
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use table::{Resource, View};
 
-use crate::Revision;
 use crate::batch::{Batch, Item, Removal};
+use crate::position::Position;
+use crate::{Era, Revision};
 
 /// Grace period after an outage of the store during which entries whose leases expired stay in the
 /// view. Running owners register again within two seconds; the rest covers the propagation of their
@@ -18,6 +20,10 @@
 /// behind gets all entries.
 const MAX_REMOVALS: usize = 4_096;
 
+/// Time for which removed entries of upstreams and hosts are remembered. It is longer than the store
+/// may go back, so that an older copy of the store does not return them.
+const TOMBSTONE_TTL: Duration = Duration::from_secs(120);
+
 /// Decodes an entry, given its key and value.
 pub type Decode = fn(&str, &str) -> Resource;
 
@@ -37,12 +43,29 @@
     until: Instant,
 }
 
-/// A copy of the store's entries, whose revision never decreases.
+/// The last known state of a removed entry.
+#[derive(Clone, Debug)]
+struct Tombstone {
+    resource: Resource,
+    removed_at: Instant,
+}
+
+/// A copy of the store's entries, whose position never goes back.
+///
+/// When the store comes back from an older copy of itself, a new era begins. The mirror then takes
+/// over the store's entries and revisions, but no entry that its writer had replaced or removed
+/// before; see `docs/design/platform.md`.
 #[derive(Debug)]
 pub struct Mirror {
     decode: Decode,
+    era: Era,
+    /// Whether the store has come back from an older copy since this mirror was created.
+    restored: bool,
+    /// Whether all entries have to be read, because changes of a later era have been seen.
+    incomplete: bool,
     entries: BTreeMap<Box<str>, Entry>,
     expired: BTreeMap<Box<str>, ExpiredEntry>,
+    tombstones: BTreeMap<Box<str>, Tombstone>,
     removals: BTreeMap<Revision, BTreeSet<Box<str>>>,
     compacted: Revision,
     revision: Revision,
@@ -54,8 +77,12 @@
     pub fn new(decode: Decode) -> Self {
         Self {
             decode,
+            era: 0,
+            restored: false,
+            incomplete: false,
             entries: BTreeMap::new(),
             expired: BTreeMap::new(),
+            tombstones: BTreeMap::new(),
             removals: BTreeMap::new(),
             compacted: 0,
             revision: 0,
@@ -63,9 +90,26 @@
         }
     }
 
-    /// Returns the revision up to which the copy is complete, or 0 before the first batch.
-    pub fn revision(&self) -> Revision {
-        self.revision
+    /// Returns the position up to which the copy is complete, with revision 0 before the first
+    /// batch.
+    pub fn position(&self) -> Position {
+        Position { era: self.era, revision: self.revision }
+    }
+
+    /// Returns the position after which changes are to be read next. Its revision is 0 if all
+    /// entries have to be read.
+    pub fn read_position(&self) -> Position {
+        let revision = if self.incomplete { 0 } else { self.revision };
+        Position { era: self.era, revision }
+    }
+
+    /// Returns whether a source in the given era cannot bring this copy up to date, because the
+    /// store has come back from an older copy since.
+    ///
+    /// A source that does not state its era, such as a host of an earlier version, does not notice
+    /// a new era. It is outdated once this mirror has seen one begin.
+    pub fn is_outdated(&self, era: Era) -> bool {
+        if era == 0 { self.restored } else { era < self.era }
     }
 
     /// Records that the store is available again after an outage.
@@ -95,9 +139,22 @@
 
     /// Applies a batch and returns whether any entry changed. Changes that are older than the copy
     /// are ignored, so batches may come from several sources.
+    ///
+    /// Changes of a later era are ignored, too, until all entries of that era are read.
     pub fn apply(&mut self, now: Instant, batch: Batch) -> bool {
+        if self.is_outdated(batch.era) {
+            return false;
+        }
+        if batch.era > self.era {
+            if batch.full {
+                return self.begin_era(now, batch);
+            }
+            self.incomplete = true;
+            return false;
+        }
         let mut changed = false;
         if batch.full {
+            self.incomplete = false;
             changed |= self.remove_missing(now, &batch);
         }
         // A key may be written and removed within one batch, so changes are applied by revision.
@@ -122,6 +179,7 @@
     /// Drops the expired entries whose owners did not register again within the grace period.
     /// Returns whether there were any.
     pub fn expire(&mut self, now: Instant) -> bool {
+        self.tombstones.retain(|_, tombstone| now < tombstone.removed_at + TOMBSTONE_TTL);
         let before = self.expired.len();
         self.expired.retain(|_, expired| now < expired.until);
         self.expired.len() < before
@@ -133,10 +191,15 @@
         self.expired.values().map(|expired| expired.until).min()
     }
 
-    /// Returns the changes after a revision, or all entries if the removals since then are no
-    /// longer kept.
-    pub fn since(&self, after: Revision) -> Batch {
-        let full = after == 0 || after < self.compacted;
+    /// Returns the changes after a position, or all entries if the removals since then are no
+    /// longer kept or the position is in an earlier era.
+    pub fn since(&self, after: Position) -> Batch {
+        let Position { era, revision: after } = after;
+        if era > self.era && self.era != 0 {
+            return Batch { era: self.era, ..Batch::default() };
+        }
+        let is_earlier_era = era != 0 && era < self.era;
+        let full = after == 0 || after < self.compacted || is_earlier_era;
         let after = if full { 0 } else { after };
         let newer = self.entries.iter().filter(|(_, entry)| entry.revision > after);
         let puts = newer.map(|(key, entry)| Item {
@@ -151,7 +214,7 @@
                 removes.extend(keys.iter().cloned().map(removal));
             }
         }
-        Batch { full, era: 0, revision: self.revision, puts: puts.collect(), removes }
+        Batch { full, era: self.era, revision: self.revision, puts: puts.collect(), removes }
     }
 
     /// Returns whether the store has an entry with this key; expired entries do not count.
@@ -174,18 +237,74 @@
             return false;
         }
         let resource = (self.decode)(&item.key, &item.value);
-        if let (Resource::Unusable, Some(Resource::Config(_))) =
-            (&resource, self.entries.get(&item.key).map(|entry| &entry.resource))
-        {
-            // A configuration that cannot be decoded must not replace the last valid one.
+        let previous = self.entries.get(&item.key).map(|entry| &entry.resource);
+        if previous.is_some_and(|previous| is_regression(previous, &resource)) {
             return false;
         }
-        self.expired.remove(&item.key);
-        let entry = Entry { revision: item.revision, value: item.value, resource };
-        self.entries.insert(item.key, entry);
+        self.insert(item, resource);
+        true
+    }
+
+    fn insert(&mut self, item: Item, resource: Resource) {
+        let Item { key, value, revision } = item;
+        self.expired.remove(&key);
+        self.tombstones.remove(&key);
+        self.entries.insert(key, Entry { revision, value, resource });
+    }
+
+    /// Replaces all entries by those of a later era. What their writers had replaced or removed
+    /// before is not taken over, and entries that the store has lost stay in the view until their
+    /// writers have had time to write them again.
+    fn begin_era(&mut self, now: Instant, batch: Batch) -> bool {
+        // Without an era the entries came from hosts of an earlier version, and not from an earlier
+        // state of the store.
+        if self.era != 0 {
+            self.restored = true;
+            self.extend_grace_period(now, EXPIRY_GRACE);
+        }
+        let Batch { era, revision, puts, .. } = batch;
+        (self.era, self.revision, self.compacted) = (era, revision, revision);
+        self.incomplete = false;
+        self.removals.clear();
+        let mut known = std::mem::take(&mut self.entries);
+        for item in puts {
+            let resource = (self.decode)(&item.key, &item.value);
+            match known.remove(&item.key) {
+                Some(entry) if is_older(&resource, &entry.resource) => {
+                    let entry = Entry { revision: item.revision, ..entry };
+                    self.entries.insert(item.key, entry);
+                }
+                None if self.is_buried(&item.key, &resource) => {}
+                _ => self.insert(item, resource),
+            }
+        }
+        for (key, entry) in known {
+            if matches!(entry.resource, Resource::Config(_)) {
+                self.entries.insert(key, Entry { revision, ..entry });
+            } else {
+                self.retain_expired(now, key, entry.resource);
+            }
+        }
         true
     }
 
+    /// Returns whether an entry was removed since it was written, as far as its content tells.
+    fn is_buried(&self, key: &str, resource: &Resource) -> bool {
+        self.tombstones.get(key).is_some_and(|tombstone| {
+            resource.compare(&tombstone.resource) != Some(Ordering::Greater)
+        })
+    }
+
+    /// Keeps a removed entry in the view until the end of the grace period, if there is one.
+    fn retain_expired(&mut self, now: Instant, key: Box<str>, resource: Resource) {
+        if matches!(resource, Resource::Strike(_) | Resource::Unusable) {
+            return;
+        }
+        if let Some(until) = self.grace_until.filter(|until| now < *until) {
+            self.expired.insert(key, ExpiredEntry { resource, until });
+        }
+    }
+
     fn remove(&mut self, now: Instant, key: &str, revision: Revision) -> bool {
         match self.entries.get(key) {
             Some(entry) if entry.revision < revision => {}
@@ -200,9 +319,10 @@
             let (oldest, _) = self.removals.pop_first().expect("there are more than the maximum");
             self.compacted = oldest;
         }
-        let may_return = matches!(entry.resource, Resource::Upstream(_) | Resource::Host(_));
-        if let Some(until) = self.grace_until.filter(|until| may_return && now < *until) {
-            self.expired.insert(key, ExpiredEntry { resource: entry.resource, until });
+        if matches!(entry.resource, Resource::Upstream(_) | Resource::Host(_)) {
+            let tombstone = Tombstone { resource: entry.resource.clone(), removed_at: now };
+            self.tombstones.insert(key.clone(), tombstone);
+            self.retain_expired(now, key, entry.resource);
         }
         true
     }
@@ -219,3 +339,15 @@
         changed
     }
 }
+
+/// Returns whether an entry must not replace `previous`: a configuration neither reverts nor becomes
+/// one that cannot be decoded.
+fn is_regression(previous: &Resource, next: &Resource) -> bool {
+    matches!(previous, Resource::Config(_)) && is_older(next, previous)
+}
+
+/// Returns whether the writer of an entry has replaced it by `known`.
+fn is_older(resource: &Resource, known: &Resource) -> bool {
+    let is_undecodable = matches!((resource, known), (Resource::Unusable, Resource::Config(_)));
+    is_undecodable || resource.compare(known) == Some(Ordering::Less)
+}
--- a/crates/feed/src/registration.rs
+++ b/crates/feed/src/registration.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use crate::LeaseId;
+use crate::{Era, LeaseId};
 
 /// Time after a write by which the mirror must show the entry; after it the entry is written again.
 const VISIBILITY_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -33,6 +33,8 @@
 pub struct Registration {
     ttl: Duration,
     lease: Option<LeaseId>,
+    /// Era of the store in which the lease was granted, 0 if it was not known yet.
+    era: Era,
     written_at: Option<Instant>,
     renew_at: Option<Instant>,
     retry_at: Option<Instant>,
@@ -41,15 +43,18 @@
 impl Registration {
     /// Creates the state of an entry without a lease; leases are granted for `ttl`.
     pub fn new(ttl: Duration) -> Self {
-        Self { ttl, lease: None, written_at: None, renew_at: None, retry_at: None }
+        Self { ttl, lease: None, era: 0, written_at: None, renew_at: None, retry_at: None }
     }
 
-    /// Returns the next action, given whether the mirror shows the entry.
-    pub fn next_action(&self, now: Instant, visible: bool) -> Action {
+    /// Returns the next action, given whether the mirror shows the entry, and in which era.
+    ///
+    /// A store that has come back from an older copy may have lost the lease or granted its id to
+    /// another host, so a new one is needed in each era.
+    pub fn next_action(&self, now: Instant, visible: bool, era: Era) -> Action {
         if let Some(at) = self.retry_at.filter(|at| *at > now) {
             return Action::Wait(at);
         }
-        let Some(lease) = self.lease else { return Action::Grant };
+        let Some(lease) = self.lease(era) else { return Action::Grant };
         let Some(written_at) = self.written_at else { return Action::Put(lease) };
         let deadline = written_at + VISIBILITY_TIMEOUT;
         if !visible && now >= deadline {
@@ -61,9 +66,10 @@
         }
     }
 
-    /// Records that a lease was granted.
-    pub fn granted(&mut self, now: Instant, lease: LeaseId) {
+    /// Records that a lease was granted, and the era that was known when it was asked for.
+    pub fn granted(&mut self, now: Instant, lease: LeaseId, era: Era) {
         self.lease = Some(lease);
+        self.era = era;
         self.written_at = None;
         self.renew_at = Some(now + self.ttl / RENEWAL_TTL_DIVISOR * 2);
     }
@@ -94,8 +100,9 @@
         self.retry_at = Some(now + RETRY_BACKOFF);
     }
 
-    /// Returns the current lease, if there is one.
-    pub fn lease(&self) -> Option<LeaseId> {
-        self.lease
+    /// Returns the lease if there is one in the given era.
+    pub fn lease(&self, era: Era) -> Option<LeaseId> {
+        let is_current = self.era == 0 || self.era >= era;
+        self.lease.filter(|_| is_current)
     }
 }
--- a/crates/feed/tests/feed.rs
+++ b/crates/feed/tests/feed.rs
@@ -62,7 +62,7 @@
     let mut mirror = Mirror::new(decode);
     assert!(mirror.apply(now, put("c", "7", 20)));
     assert!(!mirror.apply(now, put("c", "6", 10)));
-    assert_eq!((version(&mirror), mirror.revision()), (7, 20));
+    assert_eq!((version(&mirror), mirror.position().revision), (7, 20));
 }
 
 #[test]
@@ -237,11 +237,11 @@
             let batch = if is_put { put(&key, "x", revision) } else { remove(&key, revision) };
             source.apply(now, batch);
             if reads {
-                follower.apply(now, source.since(follower.revision()));
+                follower.apply(now, source.since(follower.read_position()));
             }
         }
-        follower.apply(now, source.since(follower.revision()));
-        prop_assert_eq!(follower.revision(), source.revision());
+        follower.apply(now, source.since(follower.read_position()));
+        prop_assert_eq!(follower.position(), source.position());
         let names = |mirror: &Mirror| mirror.view().hosts.keys().cloned().collect::<Vec<_>>();
         prop_assert_eq!(names(&follower), names(&source));
     }
@@ -360,26 +360,26 @@
 fn entry_is_written_under_a_lease_and_renewed() {
     let now = Instant::now();
     let mut registration = Registration::new(ms(5_000));
-    assert_eq!(registration.next_action(now, false), Action::Grant);
-    registration.granted(now, 7);
-    assert_eq!(registration.next_action(now, false), Action::Put(7));
+    assert_eq!(registration.next_action(now, false, 1), Action::Grant);
+    registration.granted(now, 7, 1);
+    assert_eq!(registration.next_action(now, false, 1), Action::Put(7));
     registration.written(now);
-    assert_matches!(registration.next_action(now, true), Action::Wait(_));
-    assert_eq!(registration.next_action(now + ms(2_000), true), Action::Renew(7));
+    assert_matches!(registration.next_action(now, true, 1), Action::Wait(_));
+    assert_eq!(registration.next_action(now + ms(2_000), true, 1), Action::Renew(7));
     registration.renewed(now + ms(2_000));
-    assert_matches!(registration.next_action(now + ms(2_000), true), Action::Wait(_));
+    assert_matches!(registration.next_action(now + ms(2_000), true, 1), Action::Wait(_));
 }
 
 #[test]
 fn missing_entry_is_written_again() {
     let now = Instant::now();
     let mut registration = Registration::new(ms(5_000));
-    registration.granted(now, 7);
+    registration.granted(now, 7, 1);
     registration.written(now);
-    assert_matches!(registration.next_action(now + ms(1_000), false), Action::Wait(_));
-    assert_eq!(registration.next_action(now + ms(1_500), false), Action::Put(7));
+    assert_matches!(registration.next_action(now + ms(1_000), false, 1), Action::Wait(_));
+    assert_eq!(registration.next_action(now + ms(1_500), false, 1), Action::Put(7));
     registration.lost();
-    assert_eq!(registration.next_action(now + ms(1_500), false), Action::Grant);
+    assert_eq!(registration.next_action(now + ms(1_500), false, 1), Action::Grant);
 }
 
 #[test]
@@ -387,6 +387,6 @@
     let now = Instant::now();
     let mut registration = Registration::new(ms(5_000));
     registration.failed(now);
-    assert_matches!(registration.next_action(now, false), Action::Wait(_));
-    assert_eq!(registration.next_action(now + ms(1_000), false), Action::Grant);
+    assert_matches!(registration.next_action(now, false, 1), Action::Wait(_));
+    assert_eq!(registration.next_action(now + ms(1_000), false, 1), Action::Grant);
 }
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -9,7 +9,9 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use feed::{Action, Batch, Freshness, Mirror, Peer, Registration, Source, Sources, Store};
+use feed::{
+    Action, Batch, Era, Freshness, Mirror, Peer, Position, Registration, Source, Sources, Store,
+};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use platform::DiscoveryRequest;
@@ -88,7 +90,7 @@
     sources: RefCell<Sources>,
     freshness: RefCell<Freshness>,
     view: watch::Sender<Arc<View>>,
-    revision: watch::Sender<u64>,
+    position: watch::Sender<Position>,
     http: reqwest::Client,
 }
 
@@ -153,7 +155,7 @@
             sources: RefCell::new(sources),
             freshness: RefCell::new(Freshness::new(fresh_for)),
             view,
-            revision: watch::channel(0).0,
+            position: watch::channel(Position::default()).0,
             http: reqwest::Client::builder().no_proxy().build().unwrap_or_default(),
             shared,
         }
@@ -176,7 +178,7 @@
             if last != Some(source) {
                 log::info!(
                     source:? = source,
-                    revision = self.mirror.borrow().revision();
+                    revision = self.mirror.borrow().position().revision;
                     "reading store updates"
                 );
                 last = Some(source);
@@ -193,7 +195,7 @@
 
     /// Reads updates from the store; returns whether the read succeeded.
     async fn read_store(&self, store: &platform::Client) -> bool {
-        let after = self.mirror.borrow().revision();
+        let after = self.mirror.borrow().read_position().revision;
         let wait = self.wait_time(Source::Store, WATCH_WAIT_RATIO);
         self.shared.metrics.store_calls.inc();
         let result = if after == 0 { store.read().await } else { store.watch(after, wait).await };
@@ -235,13 +237,17 @@
     /// fresh.
     async fn read_peer(&self, source: Source) -> bool {
         let Source::Peer(address) = source else { return false };
-        let after = self.mirror.borrow().revision();
+        let after = self.mirror.borrow().read_position();
         let sent = Instant::now();
         let wait = self.wait_time(source, FOLLOW_WAIT_RATIO).min(self.remaining_freshness(sent));
         let request = follow::Request { after, wait };
         let result = follow::fetch(&self.http, address, &request).await;
         let now = Instant::now();
         match result {
+            Ok(Update { batch, .. }) if self.mirror.borrow().is_outdated(batch.era) => {
+                self.record_failure(now, source, "copy of an earlier era of the store");
+                false
+            }
             Ok(Update { age_ms, grace_ms, batch }) => {
                 let age = Duration::from_millis(age_ms);
                 // The network delay counts as age, since the response may have been late.
@@ -303,12 +309,23 @@
             removes = batch.removes.len();
             "applying store changes"
         );
+        let before = self.mirror.borrow().position();
         let changed = self.mirror.borrow_mut().apply(now, batch);
+        let position = self.mirror.borrow().position();
+        if position.era != before.era {
+            log::info!(
+                era = position.era,
+                before = before.era,
+                revision = position.revision,
+                revision_before = before.revision;
+                "a new era of the store has begun"
+            );
+            self.shared.metrics.store_era.set(position.era.cast_signed());
+        }
         if changed {
             self.publish();
         }
-        let revision = self.mirror.borrow().revision();
-        self.revision.send_if_modified(|known| std::mem::replace(known, revision) != revision);
+        self.position.send_if_modified(|known| std::mem::replace(known, position) != position);
         changed
     }
 
@@ -318,7 +335,7 @@
         let version = view.table.as_ref().map_or(0, |table| table.version());
         let before = self.view.borrow().table.as_ref().map_or(0, |table| table.version());
         if version != before {
-            let revision = self.mirror.borrow().revision();
+            let revision = self.mirror.borrow().position().revision;
             log::info!(version, before, revision; "configuration in force");
             self.shared.metrics.config_version.set(version.cast_signed());
         }
@@ -351,16 +368,20 @@
                 registration.changed();
                 value = current;
             }
-            let visible = self.mirror.borrow().contains(&self.own_key);
-            let action = registration.next_action(Instant::now(), visible);
+            let (visible, era) = {
+                let mirror = self.mirror.borrow();
+                (mirror.contains(&self.own_key), mirror.position().era)
+            };
+            let action = registration.next_action(Instant::now(), visible, era);
             let is_waiting = matches!(action, Action::Wait(_));
             tokio::select! {
                 () = stop.wait() => break,
                 Ok(()) = isolated.changed(), if is_waiting => {}
-                () = self.perform(&store, &mut registration, action, &value) => {}
+                () = self.perform(&store, &mut registration, action, &value, era) => {}
             }
         }
-        if let Some(lease) = registration.lease() {
+        let era = self.mirror.borrow().position().era;
+        if let Some(lease) = registration.lease(era) {
             self.shared.metrics.store_calls.inc();
             if let Err(error) = store.revoke(lease).await {
                 log::info!(error:%; "cannot revoke the own lease; leaving it to expire");
@@ -375,6 +396,7 @@
         registration: &mut Registration,
         action: Action,
         value: &str,
+        era: Era,
     ) {
         let result = match action {
             Action::Wait(at) => {
@@ -383,7 +405,7 @@
             }
             Action::Grant => {
                 let granted = store.grant(LEASE_TTL).await;
-                granted.map(|lease| registration.granted(Instant::now(), lease))
+                granted.map(|lease| registration.granted(Instant::now(), lease, era))
             }
             Action::Put(lease) => {
                 let put = store.put(&self.own_key, value, lease).await;
@@ -469,14 +491,15 @@
         let Some(follow::Request { after, wait }) = parsed else {
             return empty_response(StatusCode::NOT_FOUND);
         };
-        let mut revision = self.revision.subscribe();
-        let changed = revision.wait_for(|revision| *revision > after);
+        let mut position = self.position.subscribe();
+        let changed = position.wait_for(|position| position.is_after(after));
         // Without changes the follower still gets the age of this host's copy.
         let _ = tokio::time::timeout(wait, changed).await;
-        let batch = if self.mirror.borrow().revision() > after {
+        let position = self.mirror.borrow().position();
+        let batch = if position.is_after(after) {
             self.mirror.borrow().since(after)
         } else {
-            Batch::default()
+            Batch { era: position.era, ..Batch::default() }
         };
         let now = Instant::now();
         let grace_ms = self.mirror.borrow().grace_remaining(now).as_millis() as u64;
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use feed::{Batch, Error, Revision};
+use feed::{Batch, Error, Position};
 use quarantine::Strike;
 use serde::{Deserialize, Serialize};
 
@@ -36,8 +36,8 @@
 /// Request of a follower.
 #[derive(Debug, PartialEq, Eq)]
 pub struct Request {
-    /// Revision of the follower's copy.
-    pub after: Revision,
+    /// Position of the follower's copy. Hosts of earlier versions do not state the era.
+    pub after: Position,
     /// Time for which the host may wait for changes before it responds.
     pub wait: Duration,
 }
@@ -46,7 +46,8 @@
 /// invalid.
 pub fn parse_request(query: Option<&str>) -> Option<Request> {
     let wait = Duration::from_millis(number(query, "wait_ms")?);
-    Some(Request { after: number(query, "after")?, wait })
+    let era = number(query, "era").unwrap_or(0);
+    Some(Request { after: Position { era, revision: number(query, "after")? }, wait })
 }
 
 /// Fetches changes from a host.
@@ -62,7 +63,8 @@
 ) -> feed::Result<Update> {
     let Request { after, wait } = request;
     let wait_ms = wait.as_millis();
-    let url = format!("http://{address}{PATH}?after={after}&wait_ms={wait_ms}");
+    let Position { era, revision } = after;
+    let url = format!("http://{address}{PATH}?era={era}&after={revision}&wait_ms={wait_ms}");
     let call = http.get(url).timeout(*wait + TIMEOUT_MARGIN);
     let response = call.send().await.map_err(Error::unavailable)?;
     if !response.status().is_success() {
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -81,6 +81,8 @@
     pub store_failures: Counter,
     /// Version of the configuration in force.
     pub config_version: Gauge,
+    /// Era of the store, which rises when the store comes back from an older copy.
+    pub store_era: Gauge,
 }
 
 impl Default for Metrics {
@@ -102,6 +104,7 @@
             store_calls: Counter::default(),
             store_failures: Counter::default(),
             config_version: Gauge::default(),
+            store_era: Gauge::default(),
         }
     }
 }
@@ -187,6 +190,11 @@
             "Version of the configuration in force",
             self.config_version.clone(),
         );
+        registry.register(
+            "store_era",
+            "Number of times that the store has come back from an older copy, as it counts them",
+            self.store_era.clone(),
+        );
         let mut text = String::new();
         encode(&mut text, &registry).expect("writing to a string cannot fail");
         text
--- a/crates/node/tests/directory.rs
+++ b/crates/node/tests/directory.rs
@@ -42,6 +42,7 @@
             draining: false,
             warmup_left: Duration::ZERO,
             started_ms: 0,
+            sequence: 0,
         };
         upstreams.entry((*service).into()).or_default().push(Arc::new(upstream));
     }
--- a/crates/table/src/resource.rs
+++ b/crates/table/src/resource.rs
@@ -1,5 +1,6 @@
 //! Decoded entries of the key-value store.
 
+use std::cmp::Ordering;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -44,3 +45,21 @@
     /// An entry of another kind, or one that cannot be decoded.
     Unusable,
 }
+
+impl Resource {
+    /// Compares two entries of one key by the order in which their writer made them. Returns `None`
+    /// if their contents do not tell.
+    ///
+    /// Configurations are ordered by their versions, and entries of upstreams by the start of the
+    /// process and their numbers. This order holds also where the store's revisions have gone back.
+    pub fn compare(&self, other: &Self) -> Option<Ordering> {
+        match (self, other) {
+            (Self::Config(own), Self::Config(other)) => Some(own.version().cmp(&other.version())),
+            (Self::Upstream(own), Self::Upstream(other)) => {
+                let order = |upstream: &Upstream| (upstream.started_ms, upstream.sequence);
+                Some(order(own).cmp(&order(other)))
+            }
+            _ => None,
+        }
+    }
+}
--- a/crates/table/src/service.rs
+++ b/crates/table/src/service.rs
@@ -38,4 +38,6 @@
     /// Start of the process in Unix milliseconds. Together with the id, it identifies one
     /// incarnation of the upstream.
     pub started_ms: u64,
+    /// Number of the entry among those that this incarnation has written.
+    pub sequence: u64,
 }
--- a/crates/table/tests/table.rs
+++ b/crates/table/tests/table.rs
@@ -70,6 +70,7 @@
         draining,
         warmup_left: Duration::ZERO,
         started_ms: 0,
+        sequence: 0,
     }))
 }
 
