Take only fresh data for the return of the store

Cause: a host whose copy was stale took any data of another host for a contact with the store, however old it was. Contacts now count as the return of the store only if they make the copy fresh. A direct contact also clears an earlier failure when it refreshes the copy, which took a second contact before.

stale_answers_of_other_hosts_are_no_return_of_the_store fails without the change.

--- a/crates/feed/src/freshness.rs
+++ b/crates/feed/src/freshness.rs
@@ -26,8 +26,11 @@
     }
 
     /// Records data that the store sent at `at`, to this host if `direct` and to another host
-    /// otherwise. Returns whether the store was unavailable before. The leases of entries that this
-    /// data removes may then have expired because their owners could not renew them.
+    /// otherwise. Returns whether the store was unavailable before and is available again. The
+    /// leases of entries that this data removes may then have expired because their owners could
+    /// not renew them.
+    ///
+    /// Data of another host that is stale itself does not show that the store is available.
     ///
     /// Call this before the data is applied: a follower gets the removals together with the first
     /// data after an outage.
@@ -37,9 +40,10 @@
         if !direct && self.last_failure.is_some_and(|failed_at| failed_at < at) {
             self.last_failure = None;
         }
-        let was_unavailable = stale || (direct && self.last_failure.take().is_some());
         self.last_contact = self.last_contact.max(Some(at));
-        was_unavailable
+        let refreshed = stale && !self.remaining(now).is_zero();
+        let had_failed = direct && self.last_failure.take().is_some();
+        refreshed || had_failed
     }
 
     /// Returns how long the data stays fresh, or zero if it is stale or there is none yet.
--- a/crates/feed/tests/feed.rs
+++ b/crates/feed/tests/feed.rs
@@ -160,6 +160,21 @@
     assert!(!freshness.record_contact(back + ms(100), back + ms(100), false));
 }
 
+/// Guards against hosts that take the stale answers of other hosts for the return of the store, and
+/// extend the grace period of expired entries while it is away.
+#[test]
+fn stale_answers_of_other_hosts_are_no_return_of_the_store() {
+    let now = Instant::now();
+    let mut freshness = Freshness::new(ms(2_000));
+    freshness.record_contact(now, now, false);
+    for late in [2_010, 2_100, 3_000] {
+        assert!(!freshness.record_contact(now + ms(late), now + ms(10), false));
+    }
+    let back = now + ms(3_500);
+    assert!(freshness.record_contact(back, back - ms(100), false));
+    assert!(!freshness.record_contact(back + ms(100), back, false));
+}
+
 #[test]
 fn store_that_refused_a_call_was_unavailable_for_its_watcher() {
     let now = Instant::now();
