Let followers ask again before their copy is stale

Cause: a follower let its source wait for changes for as long as its own copy was fresh, so the answer, which needs a millisecond or two, came just after that. The wait now ends 150 ms before.

--- a/crates/feed/src/freshness.rs
+++ b/crates/feed/src/freshness.rs
@@ -2,6 +2,10 @@
 
 use std::time::{Duration, Instant};
 
+/// Time before the copy becomes stale at which another host must send its answer, for network delay
+/// and slow processors.
+const RESPONSE_MARGIN: Duration = Duration::from_millis(150);
+
 /// State from which the freshness of the copy is computed and outages of the store are detected.
 ///
 /// It holds the time of the last contact with the store, direct or through other hosts, the time of
@@ -52,6 +56,12 @@
         until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
     }
 
+    /// Returns the longest time for which another host may wait for changes, so that its answer
+    /// arrives before the copy is stale.
+    pub fn max_wait(&self, now: Instant) -> Duration {
+        self.remaining(now).saturating_sub(RESPONSE_MARGIN)
+    }
+
     /// Returns the time since the last contact, or `None` without any contact yet.
     pub fn age(&self, now: Instant) -> Option<Duration> {
         self.last_contact.map(|at| now.saturating_duration_since(at))
--- a/crates/feed/tests/feed.rs
+++ b/crates/feed/tests/feed.rs
@@ -160,6 +160,21 @@
     assert!(!freshness.record_contact(back + ms(100), back + ms(100), false));
 }
 
+/// Guards against followers whose copy becomes stale for a moment while the store is well, because
+/// they let another host wait for changes until that very time.
+#[test]
+fn answer_to_the_longest_wait_arrives_before_the_copy_is_stale() {
+    let now = Instant::now();
+    let mut freshness = Freshness::new(ms(2_000));
+    assert_eq!(freshness.max_wait(now), Duration::ZERO);
+    freshness.record_contact(now, now, false);
+    let sent = now + ms(1_200);
+    let arrives = sent + freshness.max_wait(sent) + ms(50);
+    assert!(arrives > sent + ms(500), "followers must not poll without need");
+    assert!(!freshness.record_contact(arrives, arrives - ms(1_250), false));
+    assert_eq!(freshness.max_wait(now + ms(2_600)), Duration::ZERO);
+}
+
 /// Guards against hosts that take the stale answers of other hosts for the return of the store, and
 /// extend the grace period of expired entries while it is away.
 #[test]
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -239,7 +239,8 @@
         let Source::Peer(address) = source else { return false };
         let after = self.mirror.borrow().read_position();
         let sent = Instant::now();
-        let wait = self.wait_time(source, FOLLOW_WAIT_RATIO).min(self.remaining_freshness(sent));
+        let max_wait = self.freshness.borrow().max_wait(sent);
+        let wait = self.wait_time(source, FOLLOW_WAIT_RATIO).min(max_wait);
         let request = follow::Request { after, wait };
         let result = follow::fetch(&self.http, address, &request).await;
         let now = Instant::now();
