Write reports of crashes again to a restored store

A store that comes back from an older copy has lost the reports that hosts have written since, and no host wrote them again: a host that starts later sends requests on that have crashed upstreams already.

Cause: a report was forgotten by its writer once the store had acknowledged it.

Found by reading, while looking for the same cause elsewhere. reports_of_crashes_are_written_again_after_a_restore fails without the change (not there after 30 s).

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -107,8 +107,9 @@
     ) {
         let control = Rc::new(Self::new(shared, view, reports, isolated));
         let metrics = Arc::clone(&control.shared.metrics);
-        let (views, http) = (control.view.subscribe(), control.http.clone());
-        let reporter = Reporter::new(store.clone(), metrics, control.own.peer, views, http);
+        let (views, positions) = (control.view.subscribe(), control.position.subscribe());
+        let (own, http) = (control.own.peer, control.http.clone());
+        let reporter = Reporter::new(store.clone(), metrics, own, views, positions, http);
         spawn_local(reporter.run(reported));
         for listener in [listeners.directory, listeners.readiness] {
             let this = Rc::clone(&control);
--- a/crates/node/src/reporter.rs
+++ b/crates/node/src/reporter.rs
@@ -1,10 +1,11 @@
 //! Reports of crashes to the other hosts, through the store.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use feed::{LeaseId, Store};
+use feed::{Era, LeaseId, Position, Store};
 use quarantine::{STRIKE_TTL, Strike};
 use rand::seq::IteratorRandom;
 use table::View;
@@ -17,6 +18,9 @@
 /// upstreams come again, and then crash another one.
 pub const MAX_WAITING: usize = 64;
 
+/// Maximum number of written reports that are remembered, the latest ones.
+const MAX_WRITTEN: usize = 256;
+
 /// Time for which a lease takes further reports. It saves calls, and is short compared to the TTL.
 const LEASE_USE_TIME: Duration = Duration::from_secs(30);
 
@@ -46,8 +50,15 @@
     /// Address of this host at which other hosts follow it.
     own: SocketAddr,
     views: watch::Receiver<Arc<View>>,
+    /// Position of this host's copy of the store.
+    positions: watch::Receiver<Position>,
     http: reqwest::Client,
     lease: Option<(LeaseId, Instant)>,
+    /// Era of the store in which `lease` was granted and `written` is stored.
+    era: Era,
+    /// Reports that were written, and when. A store that comes back from an older copy may have lost
+    /// them.
+    written: VecDeque<(Instant, Strike)>,
 }
 
 impl<S: Store> Reporter<S> {
@@ -58,26 +69,58 @@
         metrics: Arc<Metrics>,
         own: SocketAddr,
         views: watch::Receiver<Arc<View>>,
+        positions: watch::Receiver<Position>,
         http: reqwest::Client,
     ) -> Self {
-        Self { store, metrics, own, views, http, lease: None }
+        let era = positions.borrow().era;
+        let written = VecDeque::new();
+        Self { store, metrics, own, views, positions, http, lease: None, era, written }
     }
 
     /// Writes the received reports in their order until the sender is dropped. A report whose write
     /// fails is written again, which has no further effect if the first write has reached the store.
     pub async fn run(mut self, mut reports: mpsc::Receiver<Report>) {
-        while let Some(Report { strike, delegated }) = reports.recv().await {
-            while let Err(error) = self.write(strike).await {
-                self.metrics.store_failures.inc();
-                log::info!(error:%; "cannot write the report of a crash to the store");
-                if error.is_lease_not_found() {
-                    self.lease = None;
-                } else if !delegated && self.delegate(&strike).await {
-                    break;
-                }
-                tokio::time::sleep(RETRY_BACKOFF).await;
+        loop {
+            tokio::select! {
+                report = reports.recv() => match report {
+                    Some(report) => self.process(report).await,
+                    None => return,
+                },
+                Ok(()) = self.positions.changed() => {}
+            }
+            self.check_era(Instant::now()).await;
+        }
+    }
+
+    /// Writes a report, or hands it over to another host that does.
+    async fn process(&mut self, report: Report) {
+        let Report { strike, delegated } = report;
+        while let Err(error) = self.write(strike).await {
+            self.metrics.store_failures.inc();
+            log::info!(error:%; "cannot write the report of a crash to the store");
+            if error.is_lease_not_found() {
+                self.lease = None;
+            } else if !delegated && self.delegate(&strike).await {
+                break;
+            }
+            tokio::time::sleep(RETRY_BACKOFF).await;
+        }
+        tokio::time::sleep(MIN_INTERVAL).await;
+    }
+
+    /// Writes the reports again if a new era of the store has begun.
+    async fn check_era(&mut self, now: Instant) {
+        let era = self.positions.borrow_and_update().era;
+        let before = std::mem::replace(&mut self.era, era);
+        if before == era || before == 0 {
+            return;
+        }
+        self.lease = None;
+        for (written_at, strike) in std::mem::take(&mut self.written) {
+            if now < written_at + STRIKE_TTL {
+                log::info!(era; "writing the report of a crash again to the restored store");
+                self.process(Report { strike, delegated: false }).await;
             }
-            tokio::time::sleep(MIN_INTERVAL).await;
         }
     }
 
@@ -85,7 +128,12 @@
         let lease = self.lease(Instant::now()).await?;
         self.metrics.store_calls.inc();
         let (key, value) = (platform::strike_key(&strike), platform::strike_value(&strike));
-        self.store.put(&key, &value, lease).await
+        self.store.put(&key, &value, lease).await?;
+        self.written.push_back((Instant::now(), strike));
+        if self.written.len() > MAX_WRITTEN {
+            self.written.pop_front();
+        }
+        Ok(())
     }
 
     /// Asks some other hosts to write a report, because they may reach the store. Returns whether one
--- a/crates/node/tests/restore.rs
+++ b/crates/node/tests/restore.rs
@@ -117,3 +117,20 @@
     tokio::join!(written_again, served);
     until("the host is registered again", || async { world.kv.keys("hosts/").len() == 1 }).await;
 }
+
+/// Guards against requests that crash upstreams and are sent again by hosts that start later, because
+/// a restored store has lost the reports of the crashes.
+#[tokio::test(flavor = "multi_thread")]
+async fn reports_of_crashes_are_written_again_after_a_restore() {
+    let world = World::start().await;
+    let snapshot = world.kv.snapshot();
+    let node = Node::ready("a", &world).await;
+    let url = format!("http://{}/crashes?request=1&attempt=2&crashes=1", node.peer);
+    let answer = support::client().post(url).send().await.expect("the host answers");
+    assert_eq!(answer.status(), 200);
+    let is_stored = || async { world.kv.keys("crashes/").len() == 1 };
+    until("the report is written", is_stored).await;
+    world.kv.restore(&snapshot);
+    assert!(world.kv.keys("crashes/").is_empty());
+    until("the report is written again", is_stored).await;
+}
