--- a/crates/soak/src/environment.rs
+++ b/crates/soak/src/environment.rs
@@ -1,10 +1,11 @@
 //! The environment of the hosts: the store and the upstreams.
 
 use std::io::Result;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use serde_json::json;
-use standin::{Kv, Proxy, Shard};
+use standin::{Kv, Proxy, Shard, Snapshot};
 
 /// Value of the `host` header on which all routes match.
 pub const ROUTE_HOST: &str = "search.example";
@@ -49,6 +50,8 @@
     pub upstreams: Vec<Upstream>,
     /// Version of the newest configuration, and when it was written.
     pub version: (u64, Instant),
+    /// Number of entries that the upstreams have written.
+    entries: AtomicU64,
 }
 
 impl Environment {
@@ -83,7 +86,8 @@
                 });
             }
         }
-        let mut environment = Self { store, upstreams, version: (0, Instant::now()) };
+        let mut environment =
+            Self { store, upstreams, version: (0, Instant::now()), entries: AtomicU64::default() };
         for upstream in &environment.upstreams {
             environment.register(upstream, "ready");
         }
@@ -106,14 +110,32 @@
 
     /// Writes the entry of an upstream into the store, in the state `ready` or `draining`.
     pub fn register(&self, upstream: &Upstream, state: &str) {
+        let sequence = self.entries.fetch_add(1, Ordering::Relaxed);
         let entry = json!({
             "service": upstream.service, "address": upstream.proxy.address(),
             "zone": upstream.domain, "version": "v1", "capacity": 2, "state": state,
-            "warmup_left_ms": 0, "sequence": 1,
+            "warmup_left_ms": 0, "sequence": sequence,
         });
         self.store.put(&format!("servers/{}", upstream.id), entry.to_string().as_bytes());
     }
 
+    /// Restores the store from a copy, and writes again what operators and upstreams have written or
+    /// removed since.
+    pub fn restore(&self, snapshot: &Snapshot) {
+        let keys = || ["op/", "servers/"].into_iter().flat_map(|prefix| self.store.keys(prefix));
+        let written: Vec<_> = keys().map(|key| (self.store.get(&key), key)).collect();
+        self.store.restore(snapshot);
+        for key in keys().filter(|key| !written.iter().any(|(_, other)| other == key)) {
+            self.store.remove(&key);
+        }
+        for (value, key) in written {
+            if let Some(value) = value.filter(|value| self.store.get(&key).as_ref() != Some(value))
+            {
+                self.store.put(&key, &value);
+            }
+        }
+    }
+
     /// Writes the next configuration. Version N has a route `/vN/`, but none of an older version.
     pub fn configure(&mut self) {
         let version = self.version.0 + 1;
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -29,6 +29,9 @@
     StoreOutage(StoreFault),
     /// The store discards the history from which watches continue.
     CompactStore,
+    /// The store comes back from an older copy, and operators and upstreams write again what it has
+    /// lost.
+    RestoreStore,
     /// All leases in the store expire.
     ExpireLeases,
     /// An upstream fails.
@@ -83,6 +86,7 @@
         Kind::CallerLink(impairment),
         Kind::StoreOutage(store_fault),
         Kind::CompactStore,
+        Kind::RestoreStore,
         Kind::ExpireLeases,
         Kind::UpstreamFault(fault),
         Kind::UpstreamFault(fault),
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -268,6 +268,7 @@
                 self.set_store_fault(StoreFault::None);
             }
             Kind::CompactStore => lock(&self.environment).store.compact(),
+            Kind::RestoreStore => self.restore_store(target, duration).await,
             Kind::ExpireLeases => {
                 self.mark_store_disturbed();
                 lock(&self.environment).store.expire_leases();
@@ -358,6 +359,22 @@
         hosts[index].mark_disturbed();
     }
 
+    /// Makes the store come back, after an outage, from a copy that it has at the beginning.
+    async fn restore_store(&self, target: usize, duration: Duration) {
+        let snapshot = lock(&self.environment).store.snapshot();
+        lock(&self.environment).configure();
+        let drain = self.drain(target);
+        let restore = async {
+            tokio::time::sleep(duration).await;
+            self.set_store_fault(StoreFault::Silent);
+            tokio::time::sleep(duration / 2).await;
+            self.mark_store_disturbed();
+            lock(&self.environment).restore(&snapshot);
+            self.set_store_fault(StoreFault::None);
+        };
+        tokio::join!(drain, restore);
+    }
+
     fn set_store_fault(&self, fault: StoreFault) {
         self.mark_store_disturbed();
         lock(&self.environment).store.set_fault(fault);
