--- a/crates/node/src/endpoint.rs
+++ b/crates/node/src/endpoint.rs
@@ -98,6 +98,14 @@
     /// Only an answer with the upstream's signature ends a rate limit: a refusal comes from an
     /// upstream that has not run the request, and other answers may be corrupt.
     pub fn record_answer(&self, now: Instant, sent: Instant, answer: &Answer) {
+        let (upstream, service) = (&*self.upstream.id, &*self.upstream.service);
+        if answer.leaving {
+            log::info!(upstream, service; "upstream has stated that it is leaving");
+        }
+        if let Some(pause) = answer.pause {
+            let pause_ms = pause.as_millis() as u64;
+            log::info!(upstream, service, pause_ms; "upstream has asked for a pause");
+        }
         match answer.rate_limit {
             Some(limit) => self.record_rate_limit(now, limit),
             None if answer.refused || answer.stamp.is_none() => {}
