--- /dev/null
+++ b/crates/node/tests/leaving.rs
@@ -0,0 +1,151 @@
+//! Upstreams that state in their answers that they are leaving, or that they want no requests for a
+//! while.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use standin::{Fault, StoreFault};
+use support::{Node, World, until};
+
+/// Time within which a host must stop sending to an upstream that is leaving.
+const DRAIN_TIME: Duration = Duration::from_secs(3);
+
+/// Time for which requests may still arrive after an upstream has asked for a pause.
+const PAUSE_REACTION: Duration = Duration::from_millis(500);
+
+/// Time for which upstreams ask for a pause.
+const PAUSE: Duration = Duration::from_secs(3);
+
+/// Number of requests that may reach an upstream from one host during a pause.
+const MAX_ARRIVALS_IN_PAUSE: usize = 2;
+
+/// Time between two queries at one host.
+const QUERY_INTERVAL: Duration = Duration::from_millis(25);
+
+/// Sends queries to a host at a steady rate for the given time; returns how many succeed.
+async fn query(node: &Node, path: &str, name: &str, time: Duration) -> usize {
+    let mut queries = Vec::new();
+    for number in 0..time.div_duration_f64(QUERY_INTERVAL) as usize {
+        let call = node.call(reqwest::Method::GET, path, &format!("{name}-{number}"));
+        queries.push(tokio::spawn(call.send()));
+        tokio::time::sleep(QUERY_INTERVAL).await;
+    }
+    let answers = futures::future::join_all(queries).await.into_iter();
+    let answers = answers.map(|answer| answer.expect("the task ends").expect("the host answers"));
+    answers.filter(|answer| answer.status() == 200).count()
+}
+
+/// Guards against requests to an upstream that has stated that it is leaving, while the store, which
+/// names it as ready, is away: of a host in its failure domain, of one that sends through relays, and
+/// of hosts that get a new entry of the upstream.
+#[tokio::test(flavor = "multi_thread")]
+async fn upstream_that_states_that_it_leaves_gets_no_more_requests() {
+    let world = World::start().await;
+    let near = Node::ready_in("perth-1", "near", &world).await;
+    let far = Node::ready_in("perth-3", "far", &world).await;
+    until("both hosts are registered", || async { world.kv.keys("hosts/").len() == 2 }).await;
+    let run = async |name: &str, time| {
+        let far_name = format!("far-{name}");
+        tokio::join!(query(&near, "/all/x", name, time), query(&far, "/all/x", &far_name, time));
+    };
+    run("before", Duration::from_millis(500)).await;
+    world.kv.set_fault(StoreFault::Silent);
+    let leaving = &world.shards["shard-0@perth-1"];
+    leaving.set_leaving(true);
+    run("drain", DRAIN_TIME).await;
+    let before = leaving.arrivals();
+    run("after", Duration::from_secs(1)).await;
+    world.kv.set_fault(StoreFault::None);
+    world.register_cold("shard-0@perth-1", 1);
+    run("entry", Duration::from_secs(2)).await;
+    assert_eq!(leaving.arrivals(), before);
+}
+
+/// Guards against an upstream that is started again and gets no requests, because its previous
+/// incarnation was leaving.
+#[tokio::test(flavor = "multi_thread")]
+async fn upstream_is_used_again_after_its_restart() {
+    let world = World::start().await;
+    let node = Node::ready("a", &world).await;
+    let leaving = &world.shards["single@perth-1"];
+    leaving.set_leaving(true);
+    let is_unused = || async {
+        let before = leaving.arrivals();
+        for number in 0..4 {
+            node.get("/one/x", &format!("u{number}")).await;
+        }
+        leaving.arrivals() == before
+    };
+    until("the upstream gets no more requests", is_unused).await;
+    let before = leaving.arrivals();
+    leaving.set_leaving(false);
+    world.restart("single@perth-1", 1_800_000_000_000);
+    until("the new incarnation gets requests", || async {
+        node.get("/one/x", "restarted").await;
+        leaving.arrivals() > before
+    })
+    .await;
+}
+
+/// Guards against requests to upstreams that have asked for a pause, from a host of their failure
+/// domain and through it as a relay. Both replicas of a shard ask, so that none can stand in.
+#[tokio::test(flavor = "multi_thread")]
+async fn upstreams_that_ask_for_a_pause_get_no_requests_meanwhile() {
+    let world = World::start().await;
+    let near = Node::ready_in("perth-1", "near", &world).await;
+    let far = Node::ready_in("perth-3", "far", &world).await;
+    until("both hosts are registered", || async { world.kv.keys("hosts/").len() == 2 }).await;
+    let paused = world.of("shard-0");
+    let arrivals = || paused.iter().map(|upstream| upstream.arrivals()).sum::<usize>();
+    let run = async |name: &str, time| {
+        let far_name = format!("far-{name}");
+        tokio::join!(query(&near, "/all/x", name, time), query(&far, "/all/x", &far_name, time))
+    };
+    run("before", Duration::from_millis(500)).await;
+    for upstream in &paused {
+        upstream.set_pause(Some(PAUSE));
+        upstream.set_fault(Fault::Shed);
+    }
+    let started = Instant::now();
+    run("reaction", PAUSE_REACTION * 2).await;
+    let before = arrivals();
+    let rest = (started + PAUSE).saturating_duration_since(Instant::now());
+    let (near_count, far_count) = run("paused", rest).await;
+    let late = arrivals() - before;
+    let max = paused.len() * 2 * MAX_ARRIVALS_IN_PAUSE;
+    assert!(late <= max, "{late} requests during the pause, {max} allowed");
+    let queries = 2 * rest.div_duration_f64(QUERY_INTERVAL) as usize;
+    assert_eq!(near_count + far_count, queries, "the other shards serve all queries");
+    for upstream in &paused {
+        upstream.set_fault(Fault::None);
+    }
+    until("the upstreams are used again", || async {
+        run("again", Duration::from_millis(100)).await;
+        paused.iter().all(|upstream| upstream.runs().iter().any(|run| run.id.contains("again")))
+    })
+    .await;
+}
+
+/// Guards against requests that wait for upstreams which all want a pause that is longer than the
+/// caller can use.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_is_refused_at_once_while_all_upstreams_want_a_pause() {
+    let world = World::start().await;
+    let node = Node::ready("a", &world).await;
+    for upstream in world.of("single") {
+        upstream.set_pause(Some(Duration::from_secs(20)));
+        upstream.set_fault(Fault::Shed);
+    }
+    let mut waits = Vec::new();
+    for number in 0..6 {
+        let sent = Instant::now();
+        let answer = node.get("/one/x", &format!("p{number}")).await;
+        assert_eq!(answer.status(), 503);
+        let wait = answer.headers()["retry-after"].to_str().expect("text").parse::<f64>();
+        waits.push((sent.elapsed(), wait.expect("a number")));
+    }
+    let (elapsed, wait) = waits.pop().expect("six answers");
+    assert!(elapsed < Duration::from_millis(500), "refused after {elapsed:?}");
+    assert!((15.0..=20.0).contains(&wait), "told to come back after {wait} s");
+}
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -86,21 +86,27 @@
 
     /// Writes the store entry of an upstream with the given state.
     pub fn register(&self, id: &str, state: &str) {
-        self.write_entry(id, state, 0);
+        self.write_entry(id, state, 0, 0);
+    }
+
+    /// Writes the entry of an incarnation of an upstream that has started at `started_ms`, in Unix
+    /// milliseconds.
+    pub fn restart(&self, id: &str, started_ms: u64) {
+        self.write_entry(id, "ready", 0, started_ms);
     }
 
     /// Writes the entry of an upstream that is cold for `warmup_left_ms` milliseconds.
     pub fn register_cold(&self, id: &str, warmup_left_ms: u64) {
-        self.write_entry(id, "ready", warmup_left_ms);
+        self.write_entry(id, "ready", warmup_left_ms, 0);
     }
 
-    fn write_entry(&self, id: &str, state: &str, warmup_left_ms: u64) {
+    fn write_entry(&self, id: &str, state: &str, warmup_left_ms: u64, started_ms: u64) {
         let (service, domain) = id.split_once('@').expect("ids have the form service@domain");
         let sequence = self.entries.fetch_add(1, Ordering::Relaxed);
         let entry = json!({
             "service": service, "address": self.shards[id].address(), "zone": domain,
             "version": "v1", "capacity": 2, "state": state,
-            "warmup_left_ms": warmup_left_ms, "sequence": sequence,
+            "warmup_left_ms": warmup_left_ms, "sequence": sequence, "born": started_ms,
         });
         self.kv.put(&format!("servers/{id}"), entry.to_string().as_bytes());
     }
--- a/crates/standin/src/shard.rs
+++ b/crates/standin/src/shard.rs
@@ -8,7 +8,10 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use ::platform::names::{EXPECT_INSTANCE, INSTANCE, LIMIT, LOAD, NOT_EXECUTED, REQUEST_ID, STAMP};
+use ::platform::names::{
+    EXPECT_INSTANCE, INSTANCE, LEAVING, LIMIT, LOAD, NOT_EXECUTED, REQUEST_ID, STAMP,
+};
+use hyper::header::RETRY_AFTER;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -62,6 +65,9 @@
     slots: usize,
     service_time: Duration,
     rate_limit: Option<f64>,
+    leaving: bool,
+    /// Time that refusals ask for without requests.
+    pause: Option<Duration>,
     records: Box<[u8]>,
     runs: Vec<Run>,
     arrivals: usize,
@@ -137,6 +143,16 @@
         self.state().rate_limit = rate_limit;
     }
 
+    /// Sets whether all answers state that the upstream is leaving.
+    pub fn set_leaving(&self, leaving: bool) {
+        self.state().leaving = leaving;
+    }
+
+    /// Sets the time without requests that refusals ask for.
+    pub fn set_pause(&self, pause: Option<Duration>) {
+        self.state().pause = pause;
+    }
+
     /// Makes the upstream crash at the end of each request whose request line contains `text`: it
     /// closes all connections and refuses new ones until [`restart`](Self::restart).
     pub fn set_crash_on(&self, text: &str) {
@@ -205,18 +221,22 @@
     async fn answer(&self, stream: &mut TcpStream, message: &Message) -> Result<bool> {
         let id = message.header(REQUEST_ID.as_str()).unwrap_or_default();
         let expected = message.header(EXPECT_INSTANCE.as_str());
-        let (fault, instance, full) = {
+        let (fault, instance, full, leaving, pause) = {
             let mut state = self.state();
             state.arrivals += 1;
             let full = state.running >= state.slots && state.waiting >= MAX_WAITING;
-            (state.fault, state.instance.clone(), full)
+            let leaving = if state.leaving { format!("{LEAVING}: 1\r\n") } else { String::new() };
+            (state.fault, state.instance.clone(), full, leaving, state.pause)
         };
         if expected.is_some_and(|expected| *expected != *instance) {
             let head = format!("HTTP/1.1 421 Misdirected\r\n{INSTANCE}: {instance}\r\n");
             return write(stream, &head, b"").await.map(|()| true);
         }
         if fault == Fault::Shed || full {
-            let head = format!("HTTP/1.1 503 Busy\r\n{NOT_EXECUTED}: 1\r\n");
+            let pause = pause.map_or_else(String::new, |pause| {
+                format!("{RETRY_AFTER}: {}\r\n", pause.as_secs_f64())
+            });
+            let head = format!("HTTP/1.1 503 Busy\r\n{NOT_EXECUTED}: 1\r\n{leaving}{pause}");
             return write(stream, &head, b"").await.map(|()| true);
         }
         if fault == Fault::Silent {
@@ -244,7 +264,7 @@
         let stamp = format!("{instance}.{id}.{}", records.len());
         let limit = rate_limit.map_or_else(String::new, |rate| format!("{LIMIT}: {rate}\r\n"));
         let head = format!(
-            "HTTP/1.1 {status}\r\n{REQUEST_ID}: {id}\r\n{STAMP}: {stamp}\r\n{LOAD}: 1,0,2\r\n{limit}"
+            "HTTP/1.1 {status}\r\n{REQUEST_ID}: {id}\r\n{STAMP}: {stamp}\r\n{LOAD}: 1,0,2\r\n{limit}{leaving}"
         );
         match fault {
             Fault::Lose => Ok(false),
