--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -28,6 +28,9 @@
 /// Time after the last fault within which every host must serve requests again.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(12);
 
+/// Number of configurations that a restored store has lost.
+const LOST_CONFIGURATIONS: usize = 8;
+
 /// Parameters of a run.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -362,7 +365,10 @@
     /// Makes the store come back, after an outage, from a copy that it has at the beginning.
     async fn restore_store(&self, target: usize, duration: Duration) {
         let snapshot = lock(&self.environment).store.snapshot();
-        lock(&self.environment).configure();
+        // The store loses more revisions than are written again, so that later changes reuse them.
+        for _ in 0..LOST_CONFIGURATIONS {
+            lock(&self.environment).configure();
+        }
         let drain = self.drain(target);
         let restore = async {
             tokio::time::sleep(duration).await;
