Take upstreams out of use once they state that they leave

Cause: only the upstream's entry in the store took it out of the view; the header of its answers was not read. The class of fault: a fact with two sources, of which one is ignored. The mirror is now the one place that knows who leaves, from entries and from answers, and the view names them. Relays report them to the host of the query.

Ruled out: a new entry of the upstream that brings it back; there was none.

--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -21,6 +21,7 @@
 //! ```
 
 mod batch;
+mod departure;
 mod error;
 mod freshness;
 mod mirror;
@@ -30,6 +31,7 @@
 mod store;
 
 pub use crate::batch::{Batch, Item, Removal};
+pub use crate::departure::Departure;
 pub use crate::error::{Error, Result};
 pub use crate::freshness::Freshness;
 pub use crate::mirror::Mirror;
--- a/crates/feed/src/mirror.rs
+++ b/crates/feed/src/mirror.rs
@@ -5,9 +5,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use table::{Resource, View};
+use table::{Resource, Upstream, UpstreamId, View};
 
 use crate::batch::{Batch, Item, Removal};
+use crate::departure::Departure;
 use crate::position::Position;
 use crate::{Era, Revision};
 
@@ -24,6 +25,9 @@
 /// may go back, so that an older copy of the store does not return them.
 const TOMBSTONE_TTL: Duration = Duration::from_secs(120);
 
+/// Time for which a departure is remembered after the last answer that has stated it.
+const DEPARTURE_TTL: Duration = Duration::from_secs(600);
+
 /// Decodes an entry, given its key and value.
 pub type Decode = fn(&str, &str) -> Resource;
 
@@ -66,6 +70,9 @@
     entries: BTreeMap<Box<str>, Entry>,
     expired: BTreeMap<Box<str>, ExpiredEntry>,
     tombstones: BTreeMap<Box<str>, Tombstone>,
+    /// Upstreams that have stated in answers that they are leaving: the start of the process, and
+    /// when it was stated.
+    departures: BTreeMap<UpstreamId, (u64, Instant)>,
     removals: BTreeMap<Revision, BTreeSet<Box<str>>>,
     compacted: Revision,
     revision: Revision,
@@ -83,6 +90,7 @@
             entries: BTreeMap::new(),
             expired: BTreeMap::new(),
             tombstones: BTreeMap::new(),
+            departures: BTreeMap::new(),
             removals: BTreeMap::new(),
             compacted: 0,
             revision: 0,
@@ -176,10 +184,20 @@
         changed
     }
 
+    /// Records that an upstream has stated that it is leaving, which its entry in the store may not
+    /// say. It stays out of the view until another process has its id. Returns whether this was not
+    /// known.
+    pub fn record_departure(&mut self, now: Instant, departure: Departure) -> bool {
+        let Departure { upstream, started_ms } = departure;
+        let known = self.departures.insert(upstream, (started_ms, now));
+        known.is_none_or(|(known, _)| known != started_ms)
+    }
+
     /// Drops the expired entries whose owners did not register again within the grace period.
     /// Returns whether there were any.
     pub fn expire(&mut self, now: Instant) -> bool {
         self.tombstones.retain(|_, tombstone| now < tombstone.removed_at + TOMBSTONE_TTL);
+        self.departures.retain(|_, (_, stated_at)| now < *stated_at + DEPARTURE_TTL);
         let before = self.expired.len();
         self.expired.retain(|_, expired| now < expired.until);
         self.expired.len() < before
@@ -226,7 +244,13 @@
     pub fn view(&self) -> Arc<View> {
         let present = self.entries.values().map(|entry| &entry.resource);
         let expired = self.expired.values().map(|expired| &expired.resource);
-        Arc::new(View::new(present.chain(expired)))
+        Arc::new(View::new(present.chain(expired), |upstream| self.is_leaving(upstream)))
+    }
+
+    fn is_leaving(&self, upstream: &Upstream) -> bool {
+        let departure = self.departures.get(&upstream.id);
+        upstream.draining
+            || departure.is_some_and(|(started_ms, _)| *started_ms == upstream.started_ms)
     }
 
     fn put(&mut self, item: Item) -> bool {
--- a/crates/feed/tests/era.rs
+++ b/crates/feed/tests/era.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use feed::{Action, Batch, Item, Mirror, Position, Registration, Removal};
+use feed::{Action, Batch, Departure, Item, Mirror, Position, Registration, Removal};
 use proptest::prelude::*;
 use table::{Resource, Table, Upstream};
 
@@ -182,6 +182,25 @@
     assert!(!mirror.since(at(0, 45)).full);
 }
 
+/// Guards against an upstream that has stated that it is leaving and returns with a new entry or with
+/// an older copy of the store, and against one that does not return after its restart.
+#[test]
+fn upstream_that_has_stated_its_departure_stays_out_until_it_is_restarted() {
+    let now = Instant::now();
+    let mut mirror = mirror(now);
+    let departure = Departure { upstream: "u1".into(), started_ms: 1 };
+    assert!(mirror.record_departure(now, departure.clone()));
+    assert!(!mirror.record_departure(now, departure));
+    assert_eq!(upstreams(&mirror), ["u2".into()]);
+    assert_eq!(mirror.view().leaving.get("u1"), Some(&1));
+    mirror.apply(now, put(1, "u1", "ready:5", 61));
+    mirror.apply(now, full(2, 45, vec![item("u1", "ready:6", 44), item("u2", "ready:1", 11)]));
+    assert_eq!(upstreams(&mirror), ["u2".into()]);
+    let restarted = Departure { upstream: "u1".into(), started_ms: 7 };
+    assert!(mirror.record_departure(now, restarted), "another process has the id");
+    assert_eq!(upstreams(&mirror).len(), 2, "the entry is that of the first process");
+}
+
 /// Entries from hosts of an earlier version have no era. The first read of the store is no restore.
 #[test]
 fn first_known_era_starts_no_grace_period() {
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -10,7 +10,8 @@
 use std::time::{Duration, Instant};
 
 use feed::{
-    Action, Batch, Era, Freshness, Mirror, Peer, Position, Registration, Source, Sources, Store,
+    Action, Batch, Departure, Era, Freshness, Mirror, Peer, Position, Registration, Source,
+    Sources, Store,
 };
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
@@ -79,6 +80,20 @@
     pub metrics: TcpListener,
 }
 
+/// Channels between the control thread and the traffic thread.
+pub struct Channels {
+    /// Views of the entries in the store.
+    pub view: watch::Sender<Arc<View>>,
+    /// Crashes of upstreams, from other hosts.
+    pub reports: mpsc::Sender<Report>,
+    /// Crashes of upstreams, which are written to the store.
+    pub reported: mpsc::Receiver<Report>,
+    /// Whether the host is cut off from all upstreams.
+    pub isolated: watch::Receiver<bool>,
+    /// Upstreams that have stated that they are leaving.
+    pub departures: mpsc::Receiver<Departure>,
+}
+
 /// The state of the control thread.
 pub struct Control {
     shared: Shared,
@@ -101,10 +116,9 @@
         shared: Shared,
         store: platform::Client,
         listeners: Listeners,
-        view: watch::Sender<Arc<View>>,
-        (reports, reported): (mpsc::Sender<Report>, mpsc::Receiver<Report>),
-        isolated: watch::Receiver<bool>,
+        channels: Channels,
     ) {
+        let Channels { view, reports, reported, isolated, departures } = channels;
         let control = Rc::new(Self::new(shared, view, reports, isolated));
         let metrics = Arc::clone(&control.shared.metrics);
         let (views, positions) = (control.view.subscribe(), control.position.subscribe());
@@ -125,6 +139,7 @@
         spawn_local(serve(listeners.metrics, http_builder(), move |_| ready(this.metrics())));
         spawn_local(Rc::clone(&control).register(store.clone()));
         spawn_local(Rc::clone(&control).expire());
+        spawn_local(Rc::clone(&control).record_departures(departures));
         control.follow(store).await;
     }
 
@@ -344,6 +359,15 @@
         self.view.send_replace(view);
     }
 
+    /// Takes upstreams that have stated that they are leaving out of the view.
+    async fn record_departures(self: Rc<Self>, mut departures: mpsc::Receiver<Departure>) {
+        while let Some(departure) = departures.recv().await {
+            if self.mirror.borrow_mut().record_departure(Instant::now(), departure) {
+                self.publish();
+            }
+        }
+    }
+
     /// Removes expired entries from the view once their grace period has ended.
     async fn expire(self: Rc<Self>) {
         loop {
--- a/crates/node/src/endpoint.rs
+++ b/crates/node/src/endpoint.rs
@@ -5,10 +5,11 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use feed::Departure;
 use pick::{Hosts, Isolation, Replica};
 use platform::Answer;
 use table::Upstream;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 
 use crate::buffers::Buffers;
 use crate::crashes::Crashes;
@@ -26,6 +27,8 @@
     pub isolation: RefCell<Isolation>,
     /// Publishes changes of the isolation.
     pub isolated: watch::Sender<bool>,
+    /// Tells the control thread which upstreams have stated that they are leaving.
+    pub departures: mpsc::Sender<Departure>,
 }
 
 impl Context {
@@ -60,6 +63,8 @@
     pub remote: bool,
     /// Whether another process answered at the address. The next entry of the upstream resets this.
     pub replaced: Cell<bool>,
+    /// Whether the control thread was told that the upstream is leaving.
+    departure_reported: Cell<bool>,
     /// State that the endpoint shares with those of other upstreams.
     pub context: Rc<Context>,
     /// Requests sent since the rate limit of the upstream last changed.
@@ -83,6 +88,7 @@
             upstream,
             remote,
             replaced: Cell::new(false),
+            departure_reported: Cell::new(false),
             context: Rc::clone(context),
             limited_requests: Cell::new(0),
         }
@@ -93,14 +99,15 @@
         self.replica.borrow().is_cold(now)
     }
 
-    /// Records whether the answer to a request that was sent at `sent` states a rate limit.
+    /// Records what the answer to a request that was sent at `sent` states about the upstream: that
+    /// it is leaving, or a rate limit.
     ///
     /// Only an answer with the upstream's signature ends a rate limit: a refusal comes from an
     /// upstream that has not run the request, and other answers may be corrupt.
     pub fn record_answer(&self, now: Instant, sent: Instant, answer: &Answer) {
         let (upstream, service) = (&*self.upstream.id, &*self.upstream.service);
         if answer.leaving {
-            log::info!(upstream, service; "upstream has stated that it is leaving");
+            self.record_departure();
         }
         if let Some(pause) = answer.pause {
             let pause_ms = pause.as_millis() as u64;
@@ -117,6 +124,31 @@
         }
     }
 
+    /// Tells the control thread that the upstream is leaving, which takes it out of the view.
+    pub fn record_departure(&self) {
+        if self.departure_reported.get() {
+            return;
+        }
+        let (upstream, service) = (&self.upstream.id, &*self.upstream.service);
+        let departure =
+            Departure { upstream: upstream.clone(), started_ms: self.upstream.started_ms };
+        match self.context.departures.try_send(departure) {
+            Ok(()) => {
+                self.departure_reported.set(true);
+                log::info!(upstream, service; "upstream has stated that it is leaving");
+            }
+            // The next answer of the upstream states it again.
+            Err(error) => {
+                log::warn!(upstream, error:%; "cannot record that an upstream is leaving");
+            }
+        }
+    }
+
+    /// Returns whether the upstream has stated that it is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.departure_reported.get()
+    }
+
     /// Records that the upstream has stated a rate limit, in requests per second for all hosts
     /// together.
     pub fn record_rate_limit(&self, now: Instant, limit: f64) {
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
+use feed::Departure;
 use futures::stream::{FuturesUnordered, StreamExt};
 use gather::{Availability, Gather, Part, Step};
 use http_body_util::Full;
@@ -101,6 +102,18 @@
     pub relay: TcpListener,
 }
 
+/// Channels between the traffic thread and the control thread.
+pub struct Channels {
+    /// Views of the entries in the store.
+    pub views: watch::Receiver<Arc<View>>,
+    /// Crashes of upstreams.
+    pub reports: mpsc::Sender<Report>,
+    /// Whether the host is cut off from all upstreams.
+    pub isolated: watch::Sender<bool>,
+    /// Upstreams that have stated that they are leaving.
+    pub departures: mpsc::Sender<Departure>,
+}
+
 /// The server of the traffic thread.
 pub struct Front {
     shared: Shared,
@@ -113,18 +126,13 @@
 }
 
 impl Front {
-    /// Serves callers until the process has stopped. Crashes of upstreams are sent to `reports`, and
-    /// whether the host is cut off from all upstreams to `isolated`.
-    pub async fn run(
-        shared: Shared,
-        listeners: Listeners,
-        mut views: watch::Receiver<Arc<View>>,
-        reports: mpsc::Sender<Report>,
-        isolated: watch::Sender<bool>,
-    ) {
+    /// Serves callers until the process has stopped.
+    pub async fn run(shared: Shared, listeners: Listeners, channels: Channels) {
+        let Channels { mut views, reports, isolated, departures } = channels;
         let crashes = Crashes::new(reports, Arc::clone(&shared.metrics));
         let settings = Arc::clone(&shared.settings);
-        let registry = Rc::new(Registry::new(settings, crashes, isolated, rand::random()));
+        let registry =
+            Rc::new(Registry::new(settings, crashes, isolated, departures, rand::random()));
         let relay = Relay::new(&registry, &shared.metrics);
         tokio::task::spawn_local(Rc::clone(&relay).run(listeners.relay));
         let front = Rc::new(Self {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -22,6 +22,7 @@
 mod front;
 mod latency;
 mod metrics;
+mod notices;
 mod outcome;
 mod peer;
 mod pool;
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use feed::Departure;
 use hedge::{Purpose, WindowBudget};
 use limit::Window;
 use pick::{Candidate, ColdStart, Hosts};
@@ -14,7 +15,7 @@
 use rand::seq::IteratorRandom;
 use rand::{RngExt, SeedableRng};
 use table::{Domain, Route, ServiceName, Share, Split, Upstream, UpstreamId, View};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 
 use crate::crashes::Crashes;
 use crate::directory;
@@ -150,11 +151,13 @@
 impl Registry {
     /// Creates an empty registry; `seed` determines how ties are broken.
     ///
-    /// Whether the host is isolated is published to `isolated`.
+    /// Whether the host is isolated is published to `isolated`, and upstreams that state that they
+    /// are leaving are sent to `departures`.
     pub fn new(
         settings: Arc<Settings>,
         crashes: Rc<Crashes>,
         isolated: watch::Sender<bool>,
+        departures: mpsc::Sender<Departure>,
         seed: u64,
     ) -> Self {
         let hosts = RefCell::new(Hosts::new(&settings.host));
@@ -175,6 +178,7 @@
                 crashes,
                 isolation: RefCell::default(),
                 isolated,
+                departures,
             }),
             forwarders: Forwarders::default(),
             random: StdRng::seed_from_u64(seed),
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -12,19 +12,17 @@
 use futures::stream::{FuturesUnordered, LocalBoxStream, StreamExt, unfold};
 use http_body_util::{Either, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
-use hyper::header::{HeaderName, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioTimer;
 use platform::Call;
-use relay::{
-    Batch, Collector, End, LIMITS_HEADER, Limits, REQUEST_HEADER, Request as RelayRequest,
-};
+use relay::{Batch, Collector, End, REQUEST_HEADER, Request as RelayRequest};
 use tokio::time::sleep_until;
 
 use crate::attempt::{Attempt, Finished, Outgoing, send};
 use crate::exchange::Completion;
 use crate::metrics::{Metrics, Origin};
+use crate::notices::Notices;
 use crate::outcome::read_body;
 use crate::peer::IDLE_TTL;
 use crate::registry::Registry;
@@ -34,8 +32,6 @@
 /// first.
 const IDLE_MARGIN: Duration = Duration::from_secs(10);
 
-const LIMITS_NAME: HeaderName = HeaderName::from_static(LIMITS_HEADER);
-
 type Stream = StreamBody<LocalBoxStream<'static, Result<Frame<Bytes>, Infallible>>>;
 type Body = Either<Full<Bytes>, Stream>;
 
@@ -80,10 +76,10 @@
             }
         };
         let first = job.next().await.map_or_else(Bytes::new, |batch| batch.encode().into());
-        let limits = job.limits_header();
+        let notices = std::mem::take(&mut job.notices);
         let respond = |body| {
             let mut response = Response::new(body);
-            response.headers_mut().extend(limits.map(|limits| (LIMITS_NAME, limits)));
+            notices.write(response.headers_mut());
             response
         };
         if job.collector.is_done() {
@@ -140,7 +136,9 @@
             let accepted = endpoint.as_ref().filter(|endpoint| endpoint.accepts_relayed(now));
             let Some(endpoint) = accepted else {
                 let limit = endpoint.and_then(|endpoint| endpoint.rate_limit());
-                job.limits.rates.extend(limit.map(|limit| (part as u16, limit)));
+                job.notices.limits.values.extend(limit.map(|limit| (part as u16, limit)));
+                let leaving = view.leaving.get(id);
+                job.notices.leaving.values.extend(leaving.map(|started| (part as u16, *started)));
                 job.collector.fail(part as u16, End::Unsent);
                 continue;
             };
@@ -158,8 +156,8 @@
     relay: Rc<Relay>,
     attempts: FuturesUnordered<LocalBoxFuture<'static, Finished>>,
     collector: Collector,
-    /// Rate limits of the upstreams that no attempt was sent to for that reason.
-    limits: Limits,
+    /// What the response says about upstreams. Only what is known before the first batch is sent.
+    notices: Notices,
 }
 
 impl Job {
@@ -171,15 +169,10 @@
             relay: Rc::clone(relay),
             attempts: FuturesUnordered::new(),
             collector,
-            limits: Limits::default(),
+            notices: Notices::default(),
         }
     }
 
-    fn limits_header(&self) -> Option<HeaderValue> {
-        let limits = (!self.limits.rates.is_empty()).then(|| self.limits.to_string())?;
-        Some(HeaderValue::try_from(limits).expect("numbers are valid in a header"))
-    }
-
     /// Waits for the next batch that is to be sent; returns `None` once all parts have been
     /// returned.
     async fn next(&mut self) -> Option<Batch> {
@@ -204,6 +197,9 @@
     fn finish(&mut self, finished: Finished) {
         let Finished { part, endpoint, completion, time } = finished;
         let part = part as u16;
+        if endpoint.is_leaving() {
+            self.notices.leaving.values.push((part, endpoint.upstream.started_ms));
+        }
         match completion {
             Completion::Replied(reply) if reply.is_usable() && reply.status.is_success() => {
                 let stamp = reply.answer.stamp.unwrap_or_default();
--- a/crates/node/src/relay_call.rs
+++ b/crates/node/src/relay_call.rs
@@ -11,11 +11,13 @@
 use hyper::header::HeaderValue;
 use hyper::{Response, StatusCode};
 use pick::{Outcome, Token};
-use relay::{Batch, Decoder, End, LIMITS_HEADER, Limits, REQUEST_HEADER, Request};
+use relay::{Batch, Decoder, End, REQUEST_HEADER, Request};
 
 use crate::attempt::{Attempt, Finished, Outgoing};
+use crate::endpoint::Endpoint;
 use crate::exchange::Completion;
 use crate::metrics::Metrics;
+use crate::notices::Notices;
 use crate::peer::{IDLE_TTL, Peer};
 use crate::pool::PooledConnection;
 
@@ -43,8 +45,8 @@
     metrics: Arc<Metrics>,
     request: Request,
     parts: Vec<Option<(usize, Attempt)>>,
-    /// Rate limits of upstreams to which the relay has sent nothing for that reason.
-    limits: Limits,
+    /// What the relay reports about upstreams.
+    notices: Notices,
     batches: Option<BatchStream>,
 }
 
@@ -79,7 +81,7 @@
             metrics: Arc::clone(metrics),
             request,
             parts: parts.into_iter().map(Some).collect(),
-            limits: Limits::default(),
+            notices: Notices::default(),
             batches: None,
         }
     }
@@ -136,7 +138,7 @@
         if response.status() != StatusCode::OK {
             return Err(rejected(&peer, &response));
         }
-        self.limits = read_limits(&peer, &response);
+        self.notices = Notices::read(&peer.name, response.headers());
         let batches =
             BatchStream { pooled, body: response.into_body(), decoder: Decoder::default() };
         self.batches.insert(batches).read().await
@@ -157,12 +159,11 @@
                 End::Unsent => (Completion::Unsent, Duration::ZERO),
                 End::Failed => (Completion::Unknown { cause: "failed at a relay" }, Duration::ZERO),
             };
-            match self.limit_of(index) {
-                Some(limit) if matches!(completion, Completion::Unsent) => {
-                    endpoint.record_rate_limit(now, limit);
-                    attempt.discard(now);
-                }
-                _ => attempt.end(now, time, &completion),
+            let is_explained = self.record_notices(now, index, &endpoint);
+            if is_explained && matches!(completion, Completion::Unsent) {
+                attempt.discard(now);
+            } else {
+                attempt.end(now, time, &completion);
             }
             finished.push(Finished { part, endpoint, completion, time });
         }
@@ -170,9 +171,19 @@
         Progress { finished, records: batch.records.into(), remaining }
     }
 
-    fn limit_of(&self, index: u16) -> Option<f64> {
-        let limit = self.limits.rates.iter().find(|(limited, _)| *limited == index);
-        limit.map(|(_, limit)| *limit)
+    /// Records what the relay reports about the upstream of a part. Returns whether that explains why
+    /// the relay has sent nothing to it.
+    fn record_notices(&self, now: Instant, index: u16, endpoint: &Endpoint) -> bool {
+        let limit = self.notices.limits.get(index);
+        if let Some(limit) = limit {
+            endpoint.record_rate_limit(now, limit);
+        }
+        let leaving = self.notices.leaving.get(index);
+        let is_leaving = leaving.is_some_and(|started| started == endpoint.upstream.started_ms);
+        if is_leaving {
+            endpoint.record_departure();
+        }
+        limit.is_some() || is_leaving
     }
 
     /// Returns the relay request if more of its answer is expected. Otherwise the connection goes
@@ -213,16 +224,6 @@
     Failure::Unsent
 }
 
-/// Returns the rate limits that a relay reports; none if the header is absent or malformed.
-fn read_limits(peer: &Peer, response: &Response<Incoming>) -> Limits {
-    let Some(value) = response.headers().get(LIMITS_HEADER) else { return Limits::default() };
-    let limits = value.to_str().ok().and_then(|text| text.parse().ok());
-    if limits.is_none() {
-        log::warn!(host = peer.name; "relay sent malformed rate limits");
-    }
-    limits.unwrap_or_default()
-}
-
 impl BatchStream {
     /// Reads the next batch; returns `None` at the end of the answer.
     async fn read(&mut self) -> Result<Option<Batch>, Failure> {
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -15,6 +15,10 @@
 use crate::reporter::MAX_WAITING;
 use crate::server::listen;
 
+/// Maximum number of departures of upstreams that wait for the control thread. Further ones are
+/// dropped, since each answer of a leaving upstream states its departure again.
+const MAX_DEPARTURES: usize = 256;
+
 /// State that the threads share.
 #[derive(Clone)]
 pub struct Shared {
@@ -72,20 +76,26 @@
     let (view, views) = watch::channel(Arc::new(View::default()));
     let (reports, reported) = mpsc::channel(MAX_WAITING);
     let (isolated, isolation) = watch::channel(false);
+    let (departures, departed) = mpsc::channel(MAX_DEPARTURES);
 
     let traffic = shared.clone();
-    let own_reports = reports.clone();
+    let channels = crate::front::Channels { views, reports: reports.clone(), isolated, departures };
     let thread = kernel::spawn_local("traffic", move || {
         let listeners = crate::front::Listeners { front, relay };
-        Front::run(traffic, listeners, views, own_reports, isolated)
+        Front::run(traffic, listeners, channels)
     })?;
     process.add_thread(thread);
     let control = shared.clone();
     let listeners = crate::control::Listeners { readiness, peer, directory, metrics };
+    let channels = crate::control::Channels {
+        view,
+        reports,
+        reported,
+        isolated: isolation,
+        departures: departed,
+    };
     // The control thread serves until the process ends, so the process does not wait for it.
-    kernel::spawn_local("control", move || {
-        Control::run(control, store, listeners, view, (reports, reported), isolation)
-    })?;
+    kernel::spawn_local("control", move || Control::run(control, store, listeners, channels))?;
     log::info!(
         host = settings.host,
         domain = settings.domain,
--- a/crates/relay/src/batch.rs
+++ b/crates/relay/src/batch.rs
@@ -24,8 +24,8 @@
         /// Whether another upstream has taken over the address.
         replaced: bool,
     },
-    /// The relay sent nothing to the upstream. If it has stated a rate limit, it is among the
-    /// [`Limits`](crate::Limits) of the response.
+    /// The relay sent nothing to the upstream. If the upstream itself is the reason, as when it has
+    /// stated a rate limit, the [`Notices`](crate::Notices) of the response say so.
     Unsent,
     /// The attempt ended without a usable answer; the request may have run.
     Failed,
--- a/crates/relay/src/error.rs
+++ b/crates/relay/src/error.rs
@@ -13,8 +13,8 @@
         Request(field: &'static str) {
             display("relay request: field {} is missing or malformed", field)
         }
-        Limits {
-            display("relay response: malformed rate limits")
+        Notices {
+            display("relay response: malformed list of values about upstreams")
         }
         Batch(cause: postcard::Error) {
             display("batch of parts cannot be decoded: {}", cause)
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -33,13 +33,13 @@
 mod batch;
 mod collector;
 mod error;
-mod limits;
+mod notices;
 mod plan;
 mod request;
 
 pub use crate::batch::{Batch, Decoder, End};
 pub use crate::collector::Collector;
 pub use crate::error::{Error, Result};
-pub use crate::limits::{LIMITS_HEADER, Limits};
+pub use crate::notices::{LEAVING_HEADER, LIMITS_HEADER, Notices, Value};
 pub use crate::plan::plan;
 pub use crate::request::{REQUEST_HEADER, Request};
--- a/crates/relay/tests/relay.rs
+++ b/crates/relay/tests/relay.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use relay::{Batch, Collector, Decoder, End, Limits, Request, plan};
+use relay::{Batch, Collector, Decoder, End, Notices, Request, plan};
 
 fn answered(stamp: &str) -> End {
     End::Answered { stamp: stamp.into(), load: Some((1, 0)), time: Duration::from_millis(7) }
@@ -114,15 +114,24 @@
 
 #[test]
 fn rate_limits_round_trip_through_their_text() {
-    let limits = Limits { rates: vec![(0, 23.8), (7, 0.0)] };
+    let limits = Notices { values: vec![(0, 23.8), (7, 0.0)] };
     assert_eq!(limits.to_string(), "0=23.8,7=0");
-    assert_eq!(limits.to_string().parse::<Limits>().expect("own text"), limits);
+    assert_eq!(limits.to_string().parse::<Notices<f64>>().expect("own text"), limits);
 }
 
 #[test]
 fn malformed_rate_limits_are_rejected() {
     for text in ["", "1", "1=", "x=2", "1=-2", "1=inf", "1=NaN", "1=2,", "70000=1"] {
-        let error = text.parse::<Limits>().expect_err(text);
+        let error = text.parse::<Notices<f64>>().expect_err(text);
         assert!(!error.is_request(), "{text}");
     }
 }
+
+#[test]
+fn starts_of_leaving_upstreams_round_trip_through_their_text() {
+    let leaving = Notices { values: vec![(3, 1_796_356_327_647_u64), (4, 0)] };
+    assert_eq!(leaving.to_string().parse::<Notices<u64>>().expect("own text"), leaving);
+    for text in ["", "1", "1=", "1=-2", "1=0.5", "1=2,"] {
+        text.parse::<Notices<u64>>().expect_err(text);
+    }
+}
--- a/crates/table/src/view.rs
+++ b/crates/table/src/view.rs
@@ -8,7 +8,7 @@
 use crate::resource::{Host, Resource};
 use crate::service::Upstream;
 use crate::table::Table;
-use crate::{Domain, ServiceName};
+use crate::{Domain, ServiceName, UpstreamId};
 
 /// Everything that `pistachio-node` knows about routes, upstreams and its hosts at one moment.
 #[derive(Clone, Debug, Default)]
@@ -17,6 +17,9 @@
     pub table: Option<Arc<Table>>,
     /// Upstreams that may get requests, by service.
     pub upstreams: BTreeMap<ServiceName, Vec<Arc<Upstream>>>,
+    /// Upstreams that are leaving and get no more requests, with the start of their process in Unix
+    /// milliseconds.
+    pub leaving: BTreeMap<UpstreamId, u64>,
     /// Failure domains that operators have evacuated.
     pub evacuated: BTreeSet<Domain>,
     /// The hosts that run `pistachio-node`, by name.
@@ -26,9 +29,12 @@
 }
 
 impl View {
-    /// Builds a view from resources. Omits upstreams that are draining or whose failure domain is
-    /// evacuated.
-    pub fn new<'a>(resources: impl Iterator<Item = &'a Resource>) -> Self {
+    /// Builds a view from resources. Upstreams that are leaving, as `is_leaving` tells, or whose
+    /// failure domain is evacuated get no requests.
+    pub fn new<'a>(
+        resources: impl Iterator<Item = &'a Resource>,
+        is_leaving: impl Fn(&Upstream) -> bool,
+    ) -> Self {
         let mut view = Self::default();
         let mut upstreams = Vec::new();
         for resource in resources {
@@ -46,7 +52,9 @@
             }
         }
         for upstream in upstreams {
-            if !upstream.draining && !view.evacuated.contains(&upstream.domain) {
+            if is_leaving(upstream) {
+                view.leaving.insert(upstream.id.clone(), upstream.started_ms);
+            } else if !view.evacuated.contains(&upstream.domain) {
                 let service = view.upstreams.entry(upstream.service.clone()).or_default();
                 service.push(Arc::clone(upstream));
             }
--- a/crates/table/tests/table.rs
+++ b/crates/table/tests/table.rs
@@ -83,7 +83,7 @@
         Resource::DomainEvacuated("perth-2".into()),
         Resource::Unusable,
     ];
-    let view = View::new(resources.iter());
+    let view = View::new(resources.iter(), |upstream| upstream.draining);
     let ids: Vec<&str> = view.upstreams_of("faults").iter().map(|upstream| &*upstream.id).collect();
     assert_eq!(ids, ["a"]);
     assert_matches!(view.table, None);
