Send nothing to upstreams while they want a pause

Callers of a service whose upstreams all want a pause were told to come back in 0.04 s.

Cause: Retry-After of a refusal was not read. Failures only make an upstream less attractive for 1.5 s, so it was tried again whenever its replica was busy. The pause is now kept beside the rate limit of the upstream, where the choice of upstreams, relays and the refusal of requests already look. A relay reports it to the host of the query.

Ruled out: relays that send for others; with the fix in place none did.

--- a/crates/node/src/endpoint.rs
+++ b/crates/node/src/endpoint.rs
@@ -3,7 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use feed::Departure;
 use pick::{Hosts, Isolation, Replica};
@@ -100,18 +100,16 @@
     }
 
     /// Records what the answer to a request that was sent at `sent` states about the upstream: that
-    /// it is leaving, or a rate limit.
+    /// it is leaving, a pause that it wants, or a rate limit.
     ///
     /// Only an answer with the upstream's signature ends a rate limit: a refusal comes from an
     /// upstream that has not run the request, and other answers may be corrupt.
     pub fn record_answer(&self, now: Instant, sent: Instant, answer: &Answer) {
-        let (upstream, service) = (&*self.upstream.id, &*self.upstream.service);
         if answer.leaving {
             self.record_departure();
         }
         if let Some(pause) = answer.pause {
-            let pause_ms = pause.as_millis() as u64;
-            log::info!(upstream, service, pause_ms; "upstream has asked for a pause");
+            self.record_pause(now, pause);
         }
         match answer.rate_limit {
             Some(limit) => self.record_rate_limit(now, limit),
@@ -144,6 +142,22 @@
         }
     }
 
+    /// Records that the upstream wants no requests for the given time.
+    pub fn record_pause(&self, now: Instant, pause: Duration) {
+        let mut replica = self.replica.borrow_mut();
+        if replica.paused_for(now).is_none() {
+            let (upstream, service) = (&*self.upstream.id, &*self.upstream.service);
+            let pause_ms = pause.as_millis() as u64;
+            log::info!(upstream, service, pause_ms; "upstream has asked for a pause");
+        }
+        replica.pause(now, pause);
+    }
+
+    /// Returns the time for which the upstream wants no more requests, or `None` if it takes some.
+    pub fn paused_for(&self, now: Instant) -> Option<Duration> {
+        self.replica.borrow().paused_for(now)
+    }
+
     /// Returns whether the upstream has stated that it is leaving.
     pub fn is_leaving(&self) -> bool {
         self.departure_reported.get()
--- a/crates/node/src/fanout.rs
+++ b/crates/node/src/fanout.rs
@@ -576,7 +576,7 @@
     } else if endpoints.iter().all(|endpoint| endpoint.is_cold(now)) {
         "all upstreams are warming up"
     } else if endpoints.iter().all(|endpoint| !endpoint.replica.borrow().is_usable(now)) {
-        "rate limits of all upstreams reached"
+        "all upstreams limit the rate of requests or want a pause"
     } else if endpoints.iter().any(|endpoint| !endpoint.has_room()) {
         "connection limit reached or address reassigned at one or more upstreams"
     } else {
--- a/crates/node/src/notices.rs
+++ b/crates/node/src/notices.rs
@@ -1,7 +1,7 @@
 //! What a relay reports about upstreams in the headers of its response.
 
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
-use relay::{LEAVING_HEADER, LIMITS_HEADER, Value};
+use relay::{LEAVING_HEADER, LIMITS_HEADER, PAUSES_HEADER, Value};
 
 /// What a relay reports about the upstreams of a request, by the indices of its parts.
 #[derive(Debug, Default)]
@@ -10,6 +10,8 @@
     pub limits: relay::Notices<f64>,
     /// Upstreams that are leaving, with the start of their process in Unix milliseconds.
     pub leaving: relay::Notices<u64>,
+    /// Times for which upstreams want no more requests, in seconds.
+    pub pauses: relay::Notices<f64>,
 }
 
 impl Notices {
@@ -19,6 +21,7 @@
         Self {
             limits: read(host, headers, LIMITS_HEADER),
             leaving: read(host, headers, LEAVING_HEADER),
+            pauses: read(host, headers, PAUSES_HEADER),
         }
     }
 
@@ -26,6 +29,7 @@
     pub fn write(&self, headers: &mut HeaderMap) {
         write(headers, LIMITS_HEADER, &self.limits);
         write(headers, LEAVING_HEADER, &self.leaving);
+        write(headers, PAUSES_HEADER, &self.pauses);
     }
 }
 
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -135,6 +135,9 @@
             let endpoint = self.registry.endpoint(id);
             let accepted = endpoint.as_ref().filter(|endpoint| endpoint.accepts_relayed(now));
             let Some(endpoint) = accepted else {
+                let pause = endpoint.as_ref().and_then(|endpoint| endpoint.paused_for(now));
+                let pause = pause.map(|pause| (part as u16, pause.as_secs_f64()));
+                job.notices.pauses.values.extend(pause);
                 let limit = endpoint.and_then(|endpoint| endpoint.rate_limit());
                 job.notices.limits.values.extend(limit.map(|limit| (part as u16, limit)));
                 let leaving = view.leaving.get(id);
@@ -200,6 +203,9 @@
         if endpoint.is_leaving() {
             self.notices.leaving.values.push((part, endpoint.upstream.started_ms));
         }
+        if let Some(pause) = endpoint.paused_for(Instant::now()) {
+            self.notices.pauses.values.push((part, pause.as_secs_f64()));
+        }
         match completion {
             Completion::Replied(reply) if reply.is_usable() && reply.status.is_success() => {
                 let stamp = reply.answer.stamp.unwrap_or_default();
--- a/crates/node/src/relay_call.rs
+++ b/crates/node/src/relay_call.rs
@@ -183,7 +183,12 @@
         if is_leaving {
             endpoint.record_departure();
         }
-        limit.is_some() || is_leaving
+        let pause = self.notices.pauses.get(index);
+        let pause = pause.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
+        if let Some(pause) = pause {
+            endpoint.record_pause(now, pause);
+        }
+        limit.is_some() || is_leaving || pause.is_some()
     }
 
     /// Returns the relay request if more of its answer is expected. Otherwise the connection goes
--- a/crates/pick/src/replica.rs
+++ b/crates/pick/src/replica.rs
@@ -50,6 +50,9 @@
 /// that probes an upstream considered gone. [`choose`](crate::choose) does not apply this delay.
 const PROBE_DELAY: Duration = Duration::from_millis(250);
 
+/// Maximum time for which an upstream can ask for a pause.
+const MAX_PAUSE: Duration = Duration::from_secs(600);
+
 /// How a request to a replica ended.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Outcome {
@@ -95,6 +98,8 @@
     losses: u32,
     cold_start: Option<ColdStart>,
     rate_limit: Option<RateLimit>,
+    /// Time until which the upstream has asked for no requests.
+    paused_until: Option<Instant>,
 }
 
 impl Replica {
@@ -111,9 +116,23 @@
             losses: 0,
             cold_start: None,
             rate_limit: None,
+            paused_until: None,
         }
     }
 
+    /// Records that the upstream has asked this host for a pause of the given time, at most ten
+    /// minutes. An earlier pause that lasts longer stays.
+    pub fn pause(&mut self, now: Instant, time: Duration) {
+        self.paused_until = self.paused_until.max(Some(now + time.min(MAX_PAUSE)));
+    }
+
+    /// Returns the time left of the pause that the upstream has asked for, or `None` if there is
+    /// none.
+    pub fn paused_for(&self, now: Instant) -> Option<Duration> {
+        let left = self.paused_until?.saturating_duration_since(now);
+        (!left.is_zero()).then_some(left)
+    }
+
     /// Sets the limit of a cold upstream, or `None` for a warm one.
     pub fn set_cold_start(&mut self, cold_start: Option<ColdStart>) {
         self.cold_start = cold_start;
@@ -221,10 +240,11 @@
         self.others.add(now, others, 0.5);
     }
 
-    /// Returns whether the limit of a cold start and a stated rate limit allow a request now. An
-    /// upstream that is ejected or considered gone is usable, too.
+    /// Returns whether the limit of a cold start, a stated rate limit and a pause allow a request
+    /// now. An upstream that is ejected or considered gone is usable, too.
     pub fn is_usable(&self, now: Instant) -> bool {
-        self.cold_start.is_none_or(|cold_start| cold_start.allows(now))
+        self.paused_for(now).is_none()
+            && self.cold_start.is_none_or(|cold_start| cold_start.allows(now))
             && self.rate_limit.is_none_or(|rate_limit| rate_limit.available_at(now) <= now)
     }
 
@@ -234,12 +254,13 @@
     }
 
     /// Returns the earliest time at which the upstream should get a request: when the limit of a
-    /// cold start and a stated rate limit allow one and, if the upstream is considered gone, when a
+    /// cold start, a stated rate limit and a pause allow one and, if the upstream is considered gone, when a
     /// probe is due.
     pub fn available_at(&self, now: Instant) -> Instant {
         let cold_start = self.cold_start.map_or(now, |cold_start| cold_start.available_at(now));
         let rate_limit = self.rate_limit.map_or(now, |rate_limit| rate_limit.available_at(now));
-        let allowed = cold_start.max(rate_limit);
+        let paused = self.paused_until.unwrap_or(now);
+        let allowed = cold_start.max(rate_limit).max(paused);
         match self.ejection {
             Some((until, length)) if self.losses >= MIN_GONE_LOSSES => {
                 let ejected_at = until.checked_sub(length).unwrap_or(until);
--- a/crates/pick/tests/pick.rs
+++ b/crates/pick/tests/pick.rs
@@ -191,3 +191,23 @@
     replica.end(probe, token, Outcome::Answered { time: typical, typical });
     assert_eq!(replica.available_at(probe), probe);
 }
+
+/// Guards against requests to an upstream that has asked for a pause.
+#[test]
+fn upstream_that_wants_a_pause_is_not_chosen_meanwhile() {
+    let now = Instant::now();
+    let mut replicas = [Replica::new(2), Replica::new(2)];
+    replicas[0].pause(now, ms(3_000));
+    replicas[0].pause(now, ms(1_000));
+    assert_eq!(replicas[0].available_at(now), now + ms(3_000));
+    assert!(!replicas[0].accepts_relayed(now));
+    let choice = |at| {
+        let candidates =
+            replicas.each_ref().map(|replica| Candidate { replica, penalty: Duration::ZERO });
+        (0..2).map(|draw| choose(at, ms(10), &candidates, draw)).collect::<Vec<_>>()
+    };
+    assert_eq!(choice(now + ms(2_999)), [Some(1), Some(1)]);
+    assert!(choice(now + ms(3_000)).contains(&Some(0)));
+    replicas[1].pause(now, Duration::MAX);
+    assert_eq!(replicas[1].available_at(now), now + Duration::from_secs(600));
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -40,6 +40,6 @@
 pub use crate::batch::{Batch, Decoder, End};
 pub use crate::collector::Collector;
 pub use crate::error::{Error, Result};
-pub use crate::notices::{LEAVING_HEADER, LIMITS_HEADER, Notices, Value};
+pub use crate::notices::{LEAVING_HEADER, LIMITS_HEADER, Notices, PAUSES_HEADER, Value};
 pub use crate::plan::plan;
 pub use crate::request::{REQUEST_HEADER, Request};
--- a/crates/relay/src/notices.rs
+++ b/crates/relay/src/notices.rs
@@ -14,6 +14,10 @@
 /// process in Unix milliseconds.
 pub const LEAVING_HEADER: &str = "pistachio-leaving";
 
+/// Name of the response header with the upstreams that want no requests for a while, each with the
+/// time in seconds.
+pub const PAUSES_HEADER: &str = "pistachio-pauses";
+
 /// A value that a relay reports about an upstream.
 pub trait Value: Copy + fmt::Display {
     /// Parses a value; returns `None` if the text is none.
