--- a/crates/soak/src/host.rs
+++ b/crates/soak/src/host.rs
@@ -114,6 +114,11 @@
         Ok(())
     }
 
+    /// Replaces the program that the next process of the host runs.
+    pub fn set_binary(&mut self, binary: &Path) {
+        self.binary = binary.into();
+    }
+
     /// Sets [`last_disturbed`](Self::last_disturbed) to now.
     pub fn mark_disturbed(&mut self) {
         self.last_disturbed = Instant::now();
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -27,6 +27,13 @@
                 .action(clap::ArgAction::SetTrue)
                 .help("Injects no faults, for measurements"),
         )
+        .arg(
+            clap::Arg::new("upgrade-from")
+                .long("upgrade-from")
+                .env("PISTACHIO_UPGRADE_FROM")
+                .value_name("path")
+                .help("Host program of an earlier version; hosts are replaced one by one"),
+        )
         .arg(
             kernel::flag("folder", "Folder for the settings and logs of the hosts")
                 .default_value("target/soak"),
@@ -52,6 +59,7 @@
             clients_per_host: number("clients") as usize,
             no_faults: matches.get_flag("calm"),
             binary: binary.clone(),
+            upgrade_from: matches.get_one::<String>("upgrade-from").map(PathBuf::from),
             folder: folder.join(seed.to_string()),
         };
         match runtime.block_on(soak::run(plan)) {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,6 +1,7 @@
 //! A run: hosts, clients and faults, and the checks of each answer.
 
 use std::io::Result;
+use std::ops::Range;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -28,6 +29,9 @@
 /// Time after the last fault within which every host must serve requests again.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(12);
 
+/// Time between the shutdown of a host and its start when hosts are replaced.
+const REPLACEMENT_INTERVAL: Duration = Duration::from_millis(700);
+
 /// Number of configurations that a restored store has lost.
 const LOST_CONFIGURATIONS: usize = 8;
 
@@ -46,6 +50,9 @@
     pub no_faults: bool,
     /// Path of the host program.
     pub binary: PathBuf,
+    /// Path of an earlier version of the host program, with which the hosts start. They are replaced
+    /// one by one during the run.
+    pub upgrade_from: Option<PathBuf>,
     /// Folder for the settings and logs of the hosts.
     pub folder: PathBuf,
 }
@@ -82,9 +89,10 @@
     for number in 0..plan.hosts {
         let domain = HOST_DOMAINS[number % HOST_DOMAINS.len()];
         let store = environment.store.address();
-        let (host, peer) =
-            Host::start(number, domain, store, &plan.binary, &plan.folder, &bootstrap_addresses)
-                .await?;
+        let binary = plan.upgrade_from.as_ref().unwrap_or(&plan.binary);
+        let (mut host, peer) =
+            Host::start(number, domain, store, binary, &plan.folder, &bootstrap_addresses).await?;
+        host.set_binary(&plan.binary);
         if bootstrap_addresses.len() < 3 {
             bootstrap_addresses.push(peer);
         }
@@ -105,6 +113,11 @@
         .map(|number| tokio::spawn(Arc::clone(&run).run_client(number, number % plan.hosts)))
         .collect();
     let mut random = StdRng::seed_from_u64(plan.seed);
+    let is_upgrade = plan.upgrade_from.is_some();
+    if is_upgrade {
+        run.replace(0..plan.hosts / 2).await;
+        run.change_undisturbed(random.random_range(0..1_000)).await;
+    }
     let end = Instant::now() + plan.duration;
     let mut injections = Vec::new();
     if plan.no_faults {
@@ -112,10 +125,17 @@
     }
     while Instant::now() < end {
         let injection = draw(&mut random);
+        // Versions before eras are not expected to survive a restored store.
+        if is_upgrade && injection.kind == Kind::RestoreStore {
+            continue;
+        }
         lock(&run.report).faults.push(format!("{injection:?}"));
         injections.push(tokio::spawn(Arc::clone(&run).inject(injection)));
         tokio::time::sleep(injection.pause).await;
     }
+    if is_upgrade {
+        run.replace(plan.hosts / 2..plan.hosts).await;
+    }
     for injection in injections {
         injection.await?;
     }
@@ -310,6 +330,13 @@
         self.relaunch(index).await;
     }
 
+    /// Shuts hosts down and starts them again, one after the other.
+    async fn replace(&self, hosts: Range<usize>) {
+        for host in hosts {
+            self.restart(host, Signal::TERM, REPLACEMENT_INTERVAL).await;
+        }
+    }
+
     /// Starts a host again as soon as its process has exited. A process that is still running after
     /// its grace period is killed.
     async fn relaunch(&self, index: usize) {
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -24,6 +24,7 @@
         duration: Duration::from_secs(4),
         hosts: 3,
         clients_per_host: 2,
+        upgrade_from: None,
         no_faults: false,
         binary: binary(),
         folder: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}")),
