Report the crash of a probe at once

Cause, from the logs: all crashes of the first attempt count as two, everything is cold for 6.6 s, and then five repetitions arrive at five hosts within 0.2 s. Each host sends one probe, and its crash reaches the others only 230 ms later, the time that a report waits for answers of the query's other parts. A probe has no other parts. An attempt that was sent after a crash of another attempt was known is a probe, and its crash is reported without a delay.

Ruled out: reports that were late in the store or lost; the third host knew of the second crash, and the reports followed 230 ms after each crash.

attempt_after_a_known_crash_is_a_probe tests the rule.

--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -212,7 +212,7 @@
             time_ms = time.as_secs_f64() * 1_000.0;
             "connection to an upstream broke during a request"
         );
-        endpoint.context.crashes.check_broken(Instant::now(), &outgoing, &endpoint);
+        endpoint.context.crashes.check_broken(Instant::now(), sent, &outgoing, &endpoint);
     } else if matches!(&completion, Completion::Replied(reply) if reply.is_usable()) {
         endpoint.context.crashes.record_answer(Instant::now(), outgoing.fingerprint);
     }
--- a/crates/node/src/crashes.rs
+++ b/crates/node/src/crashes.rs
@@ -46,10 +46,12 @@
         view.strikes.iter().for_each(|strike| quarantine.learn(now, *strike));
     }
 
-    /// Finds out whether an upstream has crashed, after the connection to it broke during an attempt.
+    /// Finds out whether an upstream has crashed, after the connection to it broke during an attempt
+    /// that was sent at `sent`.
     pub fn check_broken(
         self: &Rc<Self>,
         now: Instant,
+        sent: Instant,
         outgoing: &Outgoing,
         endpoint: &Rc<Endpoint>,
     ) {
@@ -58,11 +60,14 @@
             return;
         }
         let (request, attempt) = (outgoing.fingerprint, attempt_id(outgoing.call.id.as_bytes()));
+        let was_probe = self.quarantine.borrow().was_probe(sent, request, attempt);
+        // Other parts of a probe are not in flight, so none of them can be answered.
+        let report_delay = if was_probe { Duration::ZERO } else { REPORT_DELAY };
         self.quarantine.borrow_mut().start_check(now, request, attempt);
         self.checks.set(self.checks.get() + 1);
         let (this, endpoint) = (Rc::clone(self), Rc::clone(endpoint));
         tokio::task::spawn_local(async move {
-            this.check(now, request, attempt, &endpoint).await;
+            this.check(now, report_delay, (request, attempt), &endpoint).await;
             this.quarantine.borrow_mut().end_check(request, attempt);
             this.checks.set(this.checks.get() - 1);
         });
@@ -85,13 +90,13 @@
         Some(until)
     }
 
-    /// Records a crash at `broken_at` unless the upstream is alive, and reports it unless the request
-    /// is answered meanwhile.
+    /// Records a crash at `broken_at` unless the upstream is alive, and reports it after a delay
+    /// unless the request is answered meanwhile.
     async fn check(
         &self,
         broken_at: Instant,
-        request: Fingerprint,
-        attempt: AttemptId,
+        report_delay: Duration,
+        (request, attempt): (Fingerprint, AttemptId),
         endpoint: &Endpoint,
     ) {
         tokio::time::sleep(CLOSE_DELAY).await;
@@ -104,7 +109,7 @@
         if !self.quarantine.borrow_mut().record_crash(Instant::now(), request, attempt) {
             return;
         }
-        tokio::time::sleep(REPORT_DELAY).await;
+        tokio::time::sleep(report_delay).await;
         let Some(strike) = self.quarantine.borrow().strike(Instant::now(), request, attempt) else {
             return;
         };
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -98,6 +98,14 @@
         self.records(now, request).next().is_some()
     }
 
+    /// Returns whether an attempt that was sent at `sent` was a probe, since a crash during another
+    /// attempt was known by then.
+    pub fn was_probe(&self, sent: Instant, request: Fingerprint, attempt: AttemptId) -> bool {
+        let attempts = self.requests.get(&request).into_iter().flatten();
+        let mut others = attempts.filter(|(other, _)| **other != attempt);
+        others.any(|(_, record)| record.counts(sent) && record.expires <= sent + STRIKE_TTL)
+    }
+
     /// Returns until when the request is refused, or `None` if it is not.
     pub fn refused_until(&self, now: Instant, request: Fingerprint) -> Option<Instant> {
         let mut records: Vec<&Record> = self.records(now, request).collect();
--- a/crates/quarantine/tests/quarantine.rs
+++ b/crates/quarantine/tests/quarantine.rs
@@ -25,6 +25,25 @@
     assert_eq!(quarantine.refused_until(now, REQUEST + 1), None);
 }
 
+/// Guards against crashes that become known late to other hosts, which send probes meanwhile: the
+/// crash of a probe need not wait for answers of other parts, as there are none.
+#[test]
+fn attempt_after_a_known_crash_is_a_probe() {
+    let now = Instant::now();
+    let mut quarantine = Quarantine::default();
+    assert!(!quarantine.was_probe(now, REQUEST, 1));
+    crash(&mut quarantine, now, 1..2);
+    let later = now + Duration::from_millis(100);
+    assert!(quarantine.was_probe(later, REQUEST, 2));
+    assert!(!quarantine.was_probe(later, REQUEST, 1), "its own crash was not known before");
+    assert!(!quarantine.was_probe(later, REQUEST + 1, 2));
+    // Two attempts that were in flight when their upstreams crashed for another reason.
+    let sent = now.checked_sub(Duration::from_millis(1)).expect("a time before now");
+    assert!(!quarantine.was_probe(sent, REQUEST, 2));
+    quarantine.record_answer(later, REQUEST);
+    assert!(!quarantine.was_probe(later, REQUEST, 2));
+}
+
 /// Guards against refusing the queries that were on all upstreams of a failure domain when it was
 /// lost.
 #[test]
