--- a/crates/node/tests/crash.rs
+++ b/crates/node/tests/crash.rs
@@ -213,3 +213,20 @@
     let call = node.call(Method::POST, "/once/x", "answered");
     assert_eq!(call.send().await.expect("an answer").status(), 200);
 }
+
+/// Guards against a query that crashes one replica of each shard and, repeated at another host before
+/// that has heard of it, the others. All upstreams are cold then, and nothing is served for seconds.
+#[tokio::test(flavor = "multi_thread")]
+async fn query_that_is_repeated_at_another_host_spares_the_other_replicas() {
+    let world = start(2).await;
+    let first = Node::ready_in("perth-1", "a", &world).await;
+    let second = Node::ready_in("perth-2", "b", &world).await;
+    until("both hosts are registered", || async { world.kv.keys("hosts/").len() == 2 }).await;
+    let total = || (0..3).map(|shard| crashes(&world, &format!("shard-{shard}"))).sum::<usize>();
+    first.get("/all/crashing", "first").await;
+    tokio::time::sleep(CLOSE_TIME).await;
+    let before = total();
+    second.get("/all/crashing", "second").await;
+    let probes = total() - before;
+    assert!(probes <= 1, "{probes} more upstreams crashed after the first {before}");
+}
