Bind a host's first lease to the era of its first renewal

A host asks for its first lease before it has read the store, so the lease had no era and was kept across a restore until a renewal got 404; if its id had been granted to another host by then, both would have renewed it, and the first to stop would have revoked the other's.

Found by reading; lease_is_granted_again_in_each_era covers it, and fails when the renewal names no era.

--- a/crates/feed/src/registration.rs
+++ b/crates/feed/src/registration.rs
@@ -84,8 +84,11 @@
         self.written_at = None;
     }
 
-    /// Records that the lease was renewed.
-    pub fn renewed(&mut self, now: Instant) {
+    /// Records that the lease was renewed, and the era that was known when that was asked for.
+    pub fn renewed(&mut self, now: Instant, era: Era) {
+        if self.era == 0 {
+            self.era = era;
+        }
         self.renew_at = Some(now + self.ttl / RENEWAL_TTL_DIVISOR * 2);
     }
 
--- a/crates/feed/tests/era.rs
+++ b/crates/feed/tests/era.rs
@@ -220,13 +220,16 @@
     registration.granted(now, 7, 0);
     registration.written(now);
     assert!(matches!(registration.next_action(now, true, 1), Action::Wait(_)));
-    registration.granted(now, 7, 1);
-    registration.written(now);
+    // A host asks for its first lease before it has read the store.
+    registration.renewed(now, 1);
     assert!(matches!(registration.next_action(now, true, 1), Action::Wait(_)));
     assert_eq!(registration.lease(1), Some(7));
     assert_eq!(registration.next_action(now, true, 2), Action::Grant);
     // The id may belong to another host now, so the lease must not be revoked either.
     assert_eq!(registration.lease(2), None);
+    registration.granted(now, 8, 2);
+    registration.renewed(now, 3);
+    assert_eq!(registration.lease(3), None, "a renewal does not carry a lease into the next era");
 }
 
 /// A change of a test's store: an upstream's entry is written or removed, or the store is copied, or
--- a/crates/feed/tests/feed.rs
+++ b/crates/feed/tests/feed.rs
@@ -396,7 +396,7 @@
     registration.written(now);
     assert_matches!(registration.next_action(now, true, 1), Action::Wait(_));
     assert_eq!(registration.next_action(now + ms(2_000), true, 1), Action::Renew(7));
-    registration.renewed(now + ms(2_000));
+    registration.renewed(now + ms(2_000), 1);
     assert_matches!(registration.next_action(now + ms(2_000), true, 1), Action::Wait(_));
 }
 
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -440,7 +440,7 @@
             }
             Action::Renew(lease) => {
                 let renewed = store.renew(lease).await;
-                renewed.map(|()| registration.renewed(Instant::now()))
+                renewed.map(|()| registration.renewed(Instant::now(), era))
             }
         };
         self.shared.metrics.store_calls.inc();
