Decide in one place whether a follower gets changes

The mirror compared eras itself in since(), and the control thread asked the position whether to call it. since() now returns an empty batch unless this copy is later, by Position::is_after, as the control thread did. What followers get is the same.

--- a/crates/feed/src/mirror.rs
+++ b/crates/feed/src/mirror.rs
@@ -210,12 +210,13 @@
     }
 
     /// Returns the changes after a position, or all entries if the removals since then are no
-    /// longer kept or the position is in an earlier era.
+    /// longer kept or the position is in an earlier era. The batch is empty if this copy is not
+    /// later.
     pub fn since(&self, after: Position) -> Batch {
-        let Position { era, revision: after } = after;
-        if era > self.era && self.era != 0 {
+        if !self.position().is_after(after) {
             return Batch { era: self.era, ..Batch::default() };
         }
+        let Position { era, revision: after } = after;
         let is_earlier_era = era != 0 && era < self.era;
         let full = after == 0 || after < self.compacted || is_earlier_era;
         let after = if full { 0 } else { after };
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -522,12 +522,7 @@
         let changed = position.wait_for(|position| position.is_after(after));
         // Without changes the follower still gets the age of this host's copy.
         let _ = tokio::time::timeout(wait, changed).await;
-        let position = self.mirror.borrow().position();
-        let batch = if position.is_after(after) {
-            self.mirror.borrow().since(after)
-        } else {
-            Batch { era: position.era, ..Batch::default() }
-        };
+        let batch = self.mirror.borrow().since(after);
         let now = Instant::now();
         let grace_ms = self.mirror.borrow().grace_remaining(now).as_millis() as u64;
         let update = Update { age_ms: self.age_ms(now), grace_ms, batch };
