--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -20,6 +20,7 @@
 use tokio::time::sleep_until;
 
 use crate::attempt::{Attempt, Finished, Outgoing, send};
+use crate::endpoint::Endpoint;
 use crate::exchange::Completion;
 use crate::metrics::{Metrics, Origin};
 use crate::notices::Notices;
@@ -131,23 +132,22 @@
         let latency = self.registry.latency(route);
         let mut job = Job::new(now, &self, &relay_request);
         let outgoing = Rc::new(outgoing);
-        for (part, id) in relay_request.upstreams.iter().enumerate() {
+        for (index, id) in relay_request.upstreams.iter().enumerate() {
+            let part = index as u16;
             let endpoint = self.registry.endpoint(id);
             let accepted = endpoint.as_ref().filter(|endpoint| endpoint.accepts_relayed(now));
             let Some(endpoint) = accepted else {
-                let pause = endpoint.as_ref().and_then(|endpoint| endpoint.paused_for(now));
-                let pause = pause.map(|pause| (part as u16, pause.as_secs_f64()));
-                job.notices.pauses.values.extend(pause);
-                let limit = endpoint.and_then(|endpoint| endpoint.rate_limit());
-                job.notices.limits.values.extend(limit.map(|limit| (part as u16, limit)));
-                let leaving = view.leaving.get(id);
-                job.notices.leaving.values.extend(leaving.map(|started| (part as u16, *started)));
-                job.collector.fail(part as u16, End::Unsent);
+                if let Some(endpoint) = endpoint {
+                    job.note_pause(now, part, &endpoint);
+                    job.notices.limits.add(part, endpoint.rate_limit());
+                }
+                job.notices.leaving.add(part, view.leaving.get(id).copied());
+                job.collector.fail(part, End::Unsent);
                 continue;
             };
             let attempt = Attempt::begin(now, endpoint, &latency, &self.metrics);
             let (outgoing, metrics) = (Rc::clone(&outgoing), Arc::clone(&self.metrics));
-            let finished = send(now, part, Origin::RELAY, attempt, outgoing, metrics);
+            let finished = send(now, index, Origin::RELAY, attempt, outgoing, metrics);
             job.attempts.push(Box::pin(finished));
         }
         Ok(job)
@@ -197,15 +197,18 @@
         }
     }
 
+    /// Reports for how long the upstream of a part wants no more requests, if it does.
+    fn note_pause(&mut self, now: Instant, part: u16, endpoint: &Endpoint) {
+        let pause = endpoint.paused_for(now).map(|pause| pause.as_secs_f64());
+        self.notices.pauses.add(part, pause);
+    }
+
     fn finish(&mut self, finished: Finished) {
         let Finished { part, endpoint, completion, time } = finished;
         let part = part as u16;
-        if endpoint.is_leaving() {
-            self.notices.leaving.values.push((part, endpoint.upstream.started_ms));
-        }
-        if let Some(pause) = endpoint.paused_for(Instant::now()) {
-            self.notices.pauses.values.push((part, pause.as_secs_f64()));
-        }
+        let started_ms = endpoint.is_leaving().then_some(endpoint.upstream.started_ms);
+        self.notices.leaving.add(part, started_ms);
+        self.note_pause(Instant::now(), part, &endpoint);
         match completion {
             Completion::Replied(reply) if reply.is_usable() && reply.status.is_success() => {
                 let stamp = reply.answer.stamp.unwrap_or_default();
--- a/crates/relay/src/notices.rs
+++ b/crates/relay/src/notices.rs
@@ -45,7 +45,9 @@
 /// ```
 /// use relay::Notices;
 ///
-/// let limits = Notices { values: vec![(0, 23.5), (7, 4.0)] };
+/// let mut limits = Notices { values: vec![(0, 23.5)] };
+/// limits.add(3, None);
+/// limits.add(7, Some(4.0));
 /// assert_eq!(limits.to_string(), "0=23.5,7=4");
 /// assert_eq!(limits.get(7), Some(4.0));
 /// ```
@@ -64,6 +66,11 @@
 }
 
 impl<T: Value> Notices<T> {
+    /// Adds the value about the upstream of a part, if there is one.
+    pub fn add(&mut self, index: u16, value: Option<T>) {
+        self.values.extend(value.map(|value| (index, value)));
+    }
+
     /// Returns the value about the upstream of a part, if there is one.
     pub fn get(&self, index: u16) -> Option<T> {
         let value = self.values.iter().find(|(other, _)| *other == index);
