--- a/crates/node/tests/leaving.rs
+++ b/crates/node/tests/leaving.rs
@@ -26,11 +26,27 @@
 /// Time between two queries at one host.
 const QUERY_INTERVAL: Duration = Duration::from_millis(25);
 
+/// Starts a host in the failure domain `perth-1` of upstreams, and one in a domain without upstreams,
+/// which sends through relays.
+async fn start_hosts(world: &World) -> [Node; 2] {
+    let near = Node::ready_in("perth-1", "near", world).await;
+    let far = Node::ready_in("perth-3", "far", world).await;
+    until("both hosts are registered", || async { world.kv.keys("hosts/").len() == 2 }).await;
+    [near, far]
+}
+
+/// Sends queries to both hosts at a steady rate for the given time; returns how many succeed.
+async fn query_both([near, far]: &[Node; 2], name: &str, time: Duration) -> usize {
+    let far_name = format!("far-{name}");
+    let (near, far) = tokio::join!(query(near, name, time), query(far, &far_name, time));
+    near + far
+}
+
 /// Sends queries to a host at a steady rate for the given time; returns how many succeed.
-async fn query(node: &Node, path: &str, name: &str, time: Duration) -> usize {
+async fn query(node: &Node, name: &str, time: Duration) -> usize {
     let mut queries = Vec::new();
     for number in 0..time.div_duration_f64(QUERY_INTERVAL) as usize {
-        let call = node.call(reqwest::Method::GET, path, &format!("{name}-{number}"));
+        let call = node.call(reqwest::Method::GET, "/all/x", &format!("{name}-{number}"));
         queries.push(tokio::spawn(call.send()));
         tokio::time::sleep(QUERY_INTERVAL).await;
     }
@@ -45,13 +61,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn upstream_that_states_that_it_leaves_gets_no_more_requests() {
     let world = World::start().await;
-    let near = Node::ready_in("perth-1", "near", &world).await;
-    let far = Node::ready_in("perth-3", "far", &world).await;
-    until("both hosts are registered", || async { world.kv.keys("hosts/").len() == 2 }).await;
-    let run = async |name: &str, time| {
-        let far_name = format!("far-{name}");
-        tokio::join!(query(&near, "/all/x", name, time), query(&far, "/all/x", &far_name, time));
-    };
+    let hosts = start_hosts(&world).await;
+    let run = async |name: &str, time| query_both(&hosts, name, time).await;
     run("before", Duration::from_millis(500)).await;
     world.kv.set_fault(StoreFault::Silent);
     let leaving = &world.shards["shard-0@perth-1"];
@@ -62,7 +73,7 @@
     let told = async |node: &Node| node.metrics().await.contains("departures_total 1");
     until("both hosts are told", || async {
         run("told", Duration::from_millis(100)).await;
-        told(&near).await && told(&far).await
+        told(&hosts[0]).await && told(&hosts[1]).await
     })
     .await;
     other.set_fault(Fault::None);
@@ -107,15 +118,10 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn upstreams_that_ask_for_a_pause_get_no_requests_meanwhile() {
     let world = World::start().await;
-    let near = Node::ready_in("perth-1", "near", &world).await;
-    let far = Node::ready_in("perth-3", "far", &world).await;
-    until("both hosts are registered", || async { world.kv.keys("hosts/").len() == 2 }).await;
+    let hosts = start_hosts(&world).await;
     let paused = world.of("shard-0");
     let arrivals = || paused.iter().map(|upstream| upstream.arrivals()).sum::<usize>();
-    let run = async |name: &str, time| {
-        let far_name = format!("far-{name}");
-        tokio::join!(query(&near, "/all/x", name, time), query(&far, "/all/x", &far_name, time))
-    };
+    let run = async |name: &str, time| query_both(&hosts, name, time).await;
     run("before", Duration::from_millis(500)).await;
     for upstream in &paused {
         upstream.set_pause(Some(PAUSE));
@@ -130,11 +136,11 @@
         tokio::time::sleep_until(end.into()).await;
         arrivals() - before
     };
-    let (late, (near_count, far_count)) = tokio::join!(count_late, run("paused", COUNTED_TIME));
+    let (late, served) = tokio::join!(count_late, run("paused", COUNTED_TIME));
     let max = paused.len() * 2 * MAX_ARRIVALS_IN_PAUSE;
     assert!(late <= max, "{late} requests during the pause, {max} allowed");
     let queries = 2 * COUNTED_TIME.div_duration_f64(QUERY_INTERVAL) as usize;
-    assert_eq!(near_count + far_count, queries, "the other shards serve all queries");
+    assert_eq!(served, queries, "the other shards serve all queries");
     for upstream in &paused {
         upstream.set_fault(Fault::None);
     }
--- a/crates/node/tests/restore.rs
+++ b/crates/node/tests/restore.rs
@@ -90,9 +90,8 @@
 /// write their entries again.
 #[tokio::test(flavor = "multi_thread")]
 async fn entries_that_are_written_again_after_a_restore_stay_in_use() {
-    let world = World::start().await;
+    let mut world = World::start().await;
     let snapshot = world.kv.snapshot();
-    let mut world = world;
     let node = Node::ready("a", &world).await;
     for domain in ["perth-1", "perth-2"] {
         world.add("nobody", domain, b"late").await;
