Send suspected requests on from one host, one part first

Cause: a crash was reported to the other hosts 230 ms after it was seen, through the store, and each host sent a probe by itself.

Change: a host that sees a connection break during a request tells the hosts that callers use by a datagram, before the answer. A suspected request is passed to the host that ranks first for its content, with the evidence, and has its turn there; one part is sent first. A query that has failed at upstreams of several failure domains without any answer is refused for some seconds, and a probe waits until the query that made it a suspect has ended. A query with no answer yet is hedged later. Suspicions are held apart from strikes and refuse nothing by themselves.

--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -1,6 +1,6 @@
 //! A single request to one upstream, and the statistics recorded when it ends.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -18,6 +18,7 @@
 use crate::exchange::{Completion, exchange};
 use crate::latency::Latency;
 use crate::metrics::{Metrics, Origin};
+use crate::probes::Turn;
 
 /// Multiple of the typical latency that, together with [`SILENCE_MARGIN`], may pass without an
 /// answer before the upstream counts as lost.
@@ -41,6 +42,10 @@
     pub deadline: Instant,
     /// Recognizes repetitions of the request.
     pub fingerprint: Fingerprint,
+    /// Whether the request may crash upstreams and must be answered by one before others get it.
+    probe: Cell<bool>,
+    /// The turn of such a request, until an upstream has answered it.
+    turn: RefCell<Option<Turn>>,
 }
 
 impl Outgoing {
@@ -54,7 +59,37 @@
     ) -> Self {
         let fingerprint =
             quarantine::fingerprint(method.as_str(), &call.host, target.as_str(), &body);
-        Self { call, method, target: target.into(), body, deadline, fingerprint }
+        Self {
+            call,
+            method,
+            target: target.into(),
+            body,
+            deadline,
+            fingerprint,
+            probe: Cell::new(false),
+            turn: RefCell::default(),
+        }
+    }
+
+    /// Marks the request as one that may crash upstreams and now has its turn.
+    pub fn start_probe(&self, turn: Turn) {
+        self.probe.set(true);
+        self.turn.replace(Some(turn));
+    }
+
+    /// Returns whether the request must be answered by one upstream before others get it.
+    pub fn is_probe(&self) -> bool {
+        self.probe.get()
+    }
+
+    /// Returns the turn of the request while it has one.
+    pub fn turn(&self) -> Option<Turn> {
+        self.turn.borrow().clone()
+    }
+
+    /// Ends the turn of the request, because an upstream has answered it.
+    fn end_turn(&self) {
+        self.turn.take();
     }
 
     /// Builds the request with the given headers.
@@ -215,6 +250,7 @@
         endpoint.context.crashes.check_broken(Instant::now(), sent, &outgoing, &endpoint);
     } else if matches!(&completion, Completion::Replied(reply) if reply.is_usable()) {
         endpoint.context.crashes.record_answer(Instant::now(), outgoing.fingerprint);
+        outgoing.end_turn();
     }
     attempt.end(Instant::now(), time, &completion);
     Finished { part, endpoint, completion, time }
--- a/crates/node/src/crashes.rs
+++ b/crates/node/src/crashes.rs
@@ -1,18 +1,22 @@
 //! Crashes of upstreams during requests of this host, and the requests that cause them.
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use quarantine::{AttemptId, Fingerprint, Quarantine, attempt_id};
+use hyper::header::HeaderValue;
+use quarantine::{AttemptId, Fingerprint, MIN_CRASHES, Quarantine, Strike, attempt_id};
 use table::View;
 use tokio::sync::mpsc;
 
+use crate::alerts::Alerts;
 use crate::attempt::Outgoing;
 use crate::endpoint::Endpoint;
 use crate::exchange::check_connection;
 use crate::metrics::Metrics;
+use crate::probes::Probes;
 use crate::reporter::Report;
 
 /// Time after a broken connection within which the others to a crashed upstream are closed, too.
@@ -28,16 +32,31 @@
 /// The requests in quarantine, as the traffic thread keeps them.
 pub struct Crashes {
     quarantine: RefCell<Quarantine>,
+    alerts: Rc<Alerts>,
     reports: mpsc::Sender<Report>,
     metrics: Arc<Metrics>,
+    /// Turns of the requests that may crash upstreams.
+    pub probes: Probes,
     /// Number of checks that have not ended.
     checks: Cell<usize>,
 }
 
 impl Crashes {
-    /// Creates an empty quarantine, whose confirmed crashes are sent to `reports`.
-    pub fn new(reports: mpsc::Sender<Report>, metrics: Arc<Metrics>) -> Rc<Self> {
-        Rc::new(Self { quarantine: RefCell::default(), reports, metrics, checks: Cell::new(0) })
+    /// Creates an empty quarantine. Suspected requests are told to the other hosts by `alerts`, and
+    /// confirmed crashes are sent to `reports`.
+    pub fn new(
+        alerts: Rc<Alerts>,
+        reports: mpsc::Sender<Report>,
+        metrics: Arc<Metrics>,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            quarantine: RefCell::default(),
+            alerts,
+            reports,
+            metrics,
+            probes: Probes::default(),
+            checks: Cell::new(0),
+        })
     }
 
     /// Adds the crashes that all hosts have reported.
@@ -46,8 +65,53 @@
         view.strikes.iter().for_each(|strike| quarantine.learn(now, *strike));
     }
 
+    /// Replaces the hosts that are told of suspected requests.
+    pub fn set_alert_receivers(&self, receivers: Vec<SocketAddr>) {
+        self.alerts.set_receivers(receivers);
+    }
+
+    /// Adds a suspicion that another host has told.
+    pub fn suspect(&self, now: Instant, strike: Strike) {
+        if self.quarantine.borrow_mut().suspect(now, strike) {
+            self.metrics.suspicions.inc();
+        }
+    }
+
+    /// Returns since when a request has been suspected, or `None` if it is not or if its crashes are
+    /// certain.
+    pub fn suspected_since(&self, now: Instant, request: Fingerprint) -> Option<Instant> {
+        self.quarantine.borrow().suspected_since(now, request)
+    }
+
+    /// Returns why a request may be the cause of a crash.
+    pub fn evidence(&self, now: Instant, request: Fingerprint) -> Vec<Strike> {
+        self.quarantine.borrow().evidence(now, request)
+    }
+
+    /// Has all hosts refuse a suspected request for some seconds, because upstreams in several failure
+    /// domains have failed during the attempt `id` of a caller, and none has answered it.
+    pub fn accuse(&self, now: Instant, request: Fingerprint, id: &HeaderValue) {
+        if !self.is_suspect(now, request) {
+            return;
+        }
+        log::info!(
+            request = id.to_str().unwrap_or_default(),
+            fingerprint:% = format_args!("{request:016x}");
+            "query failed at upstreams of several failure domains; refusing it for some seconds"
+        );
+        let attempt = attempt_id(id.as_bytes());
+        self.tell(now, Strike { request, attempt, crashes: MIN_CRASHES });
+    }
+
+    /// Suspects a request and tells the other hosts, unless that is known.
+    fn tell(&self, now: Instant, strike: Strike) {
+        if self.quarantine.borrow_mut().suspect(now, strike) {
+            self.alerts.send(now, strike);
+        }
+    }
+
     /// Finds out whether an upstream has crashed, after the connection to it broke during an attempt
-    /// that was sent at `sent`.
+    /// that was sent at `sent`. The request is suspected meanwhile.
     pub fn check_broken(
         self: &Rc<Self>,
         now: Instant,
@@ -55,12 +119,15 @@
         outgoing: &Outgoing,
         endpoint: &Rc<Endpoint>,
     ) {
+        let (request, attempt) = (outgoing.fingerprint, attempt_id(outgoing.call.id.as_bytes()));
+        self.tell(now, Strike { request, attempt, crashes: 0 });
         if self.checks.get() >= MAX_CHECKS {
             log::debug!(upstream = endpoint.upstream.id; "too many checks for crashed upstreams");
             return;
         }
-        let (request, attempt) = (outgoing.fingerprint, attempt_id(outgoing.call.id.as_bytes()));
-        let was_probe = self.quarantine.borrow().was_probe(sent, request, attempt);
+        let turn = outgoing.turn();
+        let was_probe =
+            turn.is_some() || self.quarantine.borrow().was_probe(sent, request, attempt);
         // Other parts of a probe are not in flight, so none of them can be answered.
         let report_delay = if was_probe { Duration::ZERO } else { REPORT_DELAY };
         self.quarantine.borrow_mut().start_check(now, request, attempt);
@@ -69,6 +136,7 @@
         tokio::task::spawn_local(async move {
             this.check(now, report_delay, (request, attempt), &endpoint).await;
             this.quarantine.borrow_mut().end_check(request, attempt);
+            drop(turn);
             this.checks.set(this.checks.get() - 1);
         });
     }
@@ -106,9 +174,14 @@
         {
             return;
         }
-        if !self.quarantine.borrow_mut().record_crash(Instant::now(), request, attempt) {
+        let now = Instant::now();
+        if !self.quarantine.borrow_mut().record_crash(now, request, attempt) {
             return;
         }
+        let strike = self.quarantine.borrow().strike(now, request, attempt);
+        if let Some(strike) = strike {
+            self.tell(now, strike);
+        }
         tokio::time::sleep(report_delay).await;
         let Some(strike) = self.quarantine.borrow().strike(Instant::now(), request, attempt) else {
             return;
--- a/crates/node/src/fanout.rs
+++ b/crates/node/src/fanout.rs
@@ -1,7 +1,7 @@
 //! The attempts for one request: a single part, or one part for each shard of a query.
 
 use std::cell::RefCell;
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -13,7 +13,7 @@
 use hedge::{Attempts, Failure, Purpose};
 use hyper::Method;
 use relay::{REQUEST_HEADER, Request};
-use table::{Route, ServiceName};
+use table::{Domain, Route, ServiceName};
 use tokio::time::{Sleep, sleep_until};
 
 use crate::attempt::{Attempt, Finished, Outgoing, send};
@@ -56,6 +56,10 @@
 /// answered. The request itself is then the probable cause, and more attempts would only spread it.
 const MAX_UNANSWERED_FAILURES: usize = 3;
 
+/// Multiple of the hedge delay after which a query is hedged even if none of its parts was answered.
+/// A query that crashes upstreams has crashed one by then, and hedges would spread it.
+const UNANSWERED_HEDGE_FACTOR: u32 = 2;
+
 /// Progress of a request.
 #[derive(Debug)]
 pub enum Event {
@@ -114,6 +118,8 @@
     answers: usize,
     /// Number of attempts that may have run and ended without a usable answer.
     failures: usize,
+    /// Failure domains of the upstreams of these attempts.
+    failed_domains: BTreeSet<Domain>,
     /// Whether the first part must be answered before another one is sent.
     probing: bool,
     next_due: Option<Instant>,
@@ -124,6 +130,9 @@
 impl Fanout {
     /// Prepares a request with one part for each service. A successful answer needs at least
     /// `min_parts` parts. Relays return at most `max_records` merged records.
+    ///
+    /// The first part of a probe is sent alone. The others follow once it is answered, and are lost if
+    /// its attempt fails.
     pub fn new(
         registry: Rc<Registry>,
         metrics: Arc<Metrics>,
@@ -147,6 +156,7 @@
             answered: false,
             counted: false,
         };
+        let probing = outgoing.is_probe();
         Self {
             latency: registry.latency(route),
             registry,
@@ -159,7 +169,8 @@
             saturated: 0,
             answers: 0,
             failures: 0,
-            probing: false,
+            failed_domains: BTreeSet::new(),
+            probing,
             next_due: None,
             in_flight: FuturesUnordered::new(),
             timer: Box::pin(sleep_until(Instant::now().into())),
@@ -180,7 +191,7 @@
         // Relays remove the header, also if it came from the caller, and an answer to HEAD has no
         // body that could carry a batch.
         let has_relay_header = self.outgoing.call.headers.contains_key(REQUEST_HEADER);
-        if has_relay_header || self.outgoing.method == Method::HEAD {
+        if self.probing || has_relay_header || self.outgoing.method == Method::HEAD {
             return self.start(now);
         }
         let hedge_delay = self.latency.borrow().hedge_delay();
@@ -209,13 +220,6 @@
         }
     }
 
-    /// Starts the first attempt for one part of a query that may have crashed upstreams. The others
-    /// follow once it is answered, and are lost if its attempt fails.
-    pub fn start_probe(&mut self, now: Instant) {
-        self.probing = true;
-        self.start(now);
-    }
-
     /// Marks a part as lost because none of its upstreams accepts requests in time.
     pub fn skip(&mut self, part: usize) {
         self.mark_lost(part);
@@ -244,6 +248,14 @@
         self.parts.iter().all(|part| part.attempts.is_not_run())
     }
 
+    /// Returns whether several upstreams in different failure domains have failed and none has answered,
+    /// which the loss of one failure domain does not explain.
+    pub fn has_failed_everywhere(&self) -> bool {
+        self.answers == 0
+            && self.failures >= MAX_UNANSWERED_FAILURES
+            && self.failed_domains.len() > 1
+    }
+
     /// Returns whether so many attempts met saturated upstreams that fewer queries should be
     /// admitted.
     pub fn is_congested(&self) -> bool {
@@ -321,7 +333,7 @@
 
     /// Returns whether all attempts so far may have failed because of the request itself.
     fn is_unproven(&self) -> bool {
-        self.parts.len() > 1 && self.answers == 0 && (self.probing || self.failures > 0)
+        self.answers == 0 && (self.probing || self.parts.len() > 1 && self.failures > 0)
     }
 
     /// Returns whether so many attempts have failed that an unproven request gets no more.
@@ -337,6 +349,13 @@
         if !part.attempts.may_hedge() {
             return;
         }
+        if self.parts.len() > 1 && self.answers == 0 {
+            let delay = self.latency.borrow().hedge_delay() * UNANSWERED_HEDGE_FACTOR;
+            let due = part.first_sent.map_or(now, |sent| sent + delay);
+            if now < due {
+                return self.schedule(due.min(now + RETRY_DELAY), index);
+            }
+        }
         let endpoints = self.registry.endpoints(&part.service);
         let others = endpoints.iter().filter(|endpoint| {
             part.attempts.may_send(&endpoint.upstream.id)
@@ -551,7 +570,10 @@
                 Failure::Unknown
             }
         };
-        self.failures += usize::from(end == Failure::Unknown);
+        if end == Failure::Unknown {
+            self.failures += 1;
+            self.failed_domains.insert(endpoint.upstream.domain.clone());
+        }
         let may_retry = part.attempts.ended(&endpoint.upstream.id, end);
         if part.attempts.is_running() || may_retry && self.send(now, index) {
             return None;
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -2,7 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
-use std::net::TcpListener;
+use std::net::{TcpListener, UdpSocket};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -23,19 +23,21 @@
 use table::{Route, ServiceName, Target, View};
 use tokio::sync::{mpsc, watch};
 
+use crate::alerts::Alerts;
 use crate::attempt::Outgoing;
 use crate::crashes::Crashes;
 use crate::endpoint::{Context, Endpoint};
-use crate::exchange::{Completion, Reply, check_connection, preconnect};
+use crate::exchange::{Reply, check_connection, preconnect};
 use crate::fanout::{Event, Fanout};
-use crate::forward::{FORWARDED_HEADER, VERSION_HEADER, parse_version};
-use crate::metrics::Status;
+use crate::forward::{FORWARDED_HEADER, VERSION_HEADER, forward, parse_version};
+use crate::metrics::{Metrics, Status};
 use crate::outcome::{Outcome, read_body};
 use crate::registry::Registry;
 use crate::relay::Relay;
 use crate::reporter::Report;
 use crate::server::{Body, accept, into_tokio};
 use crate::start::Shared;
+use crate::suspect::{refusal, take_evidence};
 
 /// Fraction of the grace period for which a stopping host still accepts connections, because
 /// callers keep using the address for a while.
@@ -100,6 +102,8 @@
     pub front: TcpListener,
     /// Accepts relay requests of other hosts.
     pub relay: TcpListener,
+    /// Receives the alerts of other hosts, at the port for relay requests.
+    pub alerts: UdpSocket,
 }
 
 /// Channels between the traffic thread and the control thread.
@@ -129,7 +133,9 @@
     /// Serves callers until the process has stopped.
     pub async fn run(shared: Shared, listeners: Listeners, channels: Channels) {
         let Channels { mut views, reports, isolated, departures } = channels;
-        let crashes = Crashes::new(reports, Arc::clone(&shared.metrics));
+        let alerts = Alerts::new(Instant::now(), listeners.alerts);
+        let crashes = Crashes::new(Rc::clone(&alerts), reports, Arc::clone(&shared.metrics));
+        tokio::task::spawn_local(alerts.receive(Rc::clone(&crashes)));
         let settings = Arc::clone(&shared.settings);
         let registry =
             Rc::new(Registry::new(settings, crashes, isolated, departures, rand::random()));
@@ -168,6 +174,16 @@
         front.accept(listeners.front).await;
     }
 
+    /// Returns the upstreams and routes of this host.
+    pub(crate) fn registry(&self) -> &Registry {
+        &self.registry
+    }
+
+    /// Returns the metrics of the process.
+    pub(crate) fn metrics(&self) -> &Metrics {
+        &self.shared.metrics
+    }
+
     /// Records the ticks by which the lag of the thread's event loop is measured, and starts checks
     /// for isolation that are due, until the thread ends.
     async fn tick(self: Rc<Self>) {
@@ -318,10 +334,11 @@
     async fn serve(
         &self,
         arrival: Instant,
-        call: Call,
+        mut call: Call,
         request: Request<Incoming>,
         forwarded: Option<u64>,
     ) -> Outcome {
+        let evidence = take_evidence(&mut call.headers).filter(|_| forwarded.is_some());
         let view = self.registry.view();
         let Some(table) = view.table.as_ref() else {
             return Outcome::error(
@@ -360,16 +377,19 @@
         let deadline = arrival + time.saturating_sub(FINAL_MARGIN);
         let outgoing = Rc::new(Outgoing::new(call, method, target, body, deadline));
         let now = Instant::now();
-        if let Some(until) = self.registry.crashes().refused_until(now, outgoing.fingerprint) {
-            let cause = "request has crashed several upstreams";
-            let status = StatusCode::SERVICE_UNAVAILABLE;
-            let outcome = Outcome::error(status, Some(until - now), cause);
-            return Outcome { route: Some(Arc::clone(route)), ..outcome };
-        }
-        let outcome = if forwarded.is_some() {
-            self.serve_here(arrival, route, outgoing).await
+        let crashes = self.registry.crashes();
+        let evidence = evidence.into_iter().flatten();
+        evidence.for_each(|strike| crashes.suspect(now, strike));
+        let outcome = if let Some(refusal) = refusal(&crashes, now, outgoing.fingerprint) {
+            refusal
         } else {
-            self.serve_anywhere(arrival, route, outgoing).await
+            let is_suspect = crashes.is_suspect(now, outgoing.fingerprint);
+            match (forwarded.is_some(), is_suspect) {
+                (false, true) => self.serve_suspect(arrival, route, outgoing).await,
+                (false, false) => self.serve_anywhere(arrival, route, outgoing).await,
+                (true, true) => self.serve_probe(arrival, route, outgoing).await,
+                (true, false) => self.serve_here(arrival, route, outgoing).await,
+            }
         };
         Outcome { route: Some(Arc::clone(route)), ..outcome }
     }
@@ -408,39 +428,25 @@
     }
 
     /// Forwards a request to another host. Returns `None` if no host could be reached.
-    ///
-    /// A request that may have reached another host is not forwarded again, since that host may have
-    /// sent it to as many upstreams as its route allows. A host with an older configuration than this
-    /// one, or than another that has answered, is passed over.
     async fn forward(&self, outgoing: &Outgoing) -> Option<Outcome> {
-        let buffers = Rc::clone(&self.registry.context().buffers);
         for _ in 0..MAX_FORWARD_ATTEMPTS {
             let host = self.registry.forwarder(Instant::now())?;
-            self.shared.metrics.forwarded_requests.inc();
-            let version = self.registry.forwarded_version();
-            let sending = host.send(outgoing, version, &buffers);
-            let error = |status, cause| Some(Outcome::error(status, None, cause));
-            return match tokio::time::timeout_at(outgoing.deadline.into(), sending).await {
-                Ok(Completion::Replied(mut reply)) => {
-                    let used = reply.headers.remove(VERSION_HEADER);
-                    let used = used.as_ref().and_then(parse_version).unwrap_or_default();
-                    if used < version && reply.status == StatusCode::SERVICE_UNAVAILABLE {
-                        continue;
-                    }
-                    self.registry.record_forwarded_version(used);
-                    let cause = "another host answered";
-                    Some(Outcome { cause, ..Outcome::from_reply(reply) })
-                }
-                Ok(Completion::Unsent) => continue,
-                Ok(_) => error(StatusCode::BAD_GATEWAY, "no usable answer of another host"),
-                Err(_) => error(StatusCode::GATEWAY_TIMEOUT, "timeout of another host"),
-            };
+            let outcome =
+                forward(&self.registry, &self.shared.metrics, &host, outgoing, None).await;
+            if outcome.is_some() {
+                return outcome;
+            }
         }
         None
     }
 
     /// Serves a request with the upstreams that this host reaches.
-    async fn serve_here(&self, arrival: Instant, route: &Route, outgoing: Rc<Outgoing>) -> Outcome {
+    pub(crate) async fn serve_here(
+        &self,
+        arrival: Instant,
+        route: &Route,
+        outgoing: Rc<Outgoing>,
+    ) -> Outcome {
         match &route.target {
             Target::Service(service) => self.single(route, service, outgoing).await,
             Target::Split(shares) => match self.registry.next_share(&route.name, shares) {
@@ -531,11 +537,7 @@
         let mut fanout =
             Fanout::new(registry, metrics, outgoing, route, services, min_parts, max_records);
         availability.unavailable_by(soft_deadline).for_each(|shard| fanout.skip(shard));
-        if self.registry.crashes().is_suspect(now, fingerprint) {
-            fanout.start_probe(Instant::now());
-        } else {
-            fanout.start_query(Instant::now(), soft_deadline);
-        }
+        fanout.start_query(Instant::now(), soft_deadline);
         loop {
             let until = match state.step(Instant::now()) {
                 Step::Wait(until) => until,
@@ -556,6 +558,9 @@
                     if fanout.is_congested() {
                         permit.mark_congested();
                     }
+                    if fanout.has_failed_everywhere() {
+                        self.registry.crashes().accuse(Instant::now(), fingerprint, &id);
+                    }
                     return Outcome {
                         missing: state.missing(),
                         detail: fanout.describe_missing(Instant::now()),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,7 @@
 //! without I/O (`pick`, `hedge`, `gather`, `feed`, `table`); this crate connects them to sockets
 //! and clocks. See `docs/design/platform.md`.
 
+mod alerts;
 mod attempt;
 mod buffers;
 mod connection;
@@ -26,6 +27,7 @@
 mod outcome;
 mod peer;
 mod pool;
+mod probes;
 mod registry;
 mod relay;
 mod relay_call;
@@ -33,6 +35,7 @@
 mod reporter;
 mod server;
 mod start;
+mod suspect;
 
 pub use crate::directory::advertised_hosts;
 pub use crate::start::{Options, start};
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -68,6 +68,8 @@
     pub relay_requests_served: Counter,
     /// Crashes of upstreams during requests of this host that were reported to the other hosts.
     pub crashes: Counter,
+    /// Suspicions of requests that other hosts have told.
+    pub suspicions: Counter,
     /// Refusals of requests that crash upstreams.
     pub quarantined_requests: Counter,
     /// Requests that were forwarded to another host.
@@ -100,6 +102,7 @@
             relay_requests: Counter::default(),
             relay_requests_served: Counter::default(),
             crashes: Counter::default(),
+            suspicions: Counter::default(),
             quarantined_requests: Counter::default(),
             forwarded_requests: Counter::default(),
             connections: Counter::default(),
@@ -163,6 +166,11 @@
             "Crashes of upstreams during requests that were not answered",
             self.crashes.clone(),
         );
+        registry.register(
+            "suspicions",
+            "Suspicions of requests that other hosts have told",
+            self.suspicions.clone(),
+        );
         registry.register(
             "quarantined_requests",
             "Refusals of requests that crash upstreams",
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -11,16 +12,18 @@
 use limit::Window;
 use pick::{Candidate, ColdStart, Hosts};
 use platform::Settings;
+use quarantine::Fingerprint;
 use rand::rngs::StdRng;
 use rand::seq::IteratorRandom;
 use rand::{RngExt, SeedableRng};
 use table::{Domain, Route, ServiceName, Share, Split, Upstream, UpstreamId, View};
 use tokio::sync::{mpsc, watch};
 
+use crate::alerts::MAX_RECEIVERS;
 use crate::crashes::Crashes;
 use crate::directory;
 use crate::endpoint::{Context, Endpoint};
-use crate::forward::{Forwarder, Forwarders};
+use crate::forward::{Forwarder, Forwarders, Prober};
 use crate::latency::Latency;
 use crate::peer::Peer;
 use crate::relays::Relays;
@@ -204,6 +207,11 @@
         state.forwarders.choose(now, state.random.random())
     }
 
+    /// Returns the hosts that may send a suspected request to an upstream, in their order.
+    pub fn probers(&self, now: Instant, request: Fingerprint) -> Vec<Prober> {
+        self.state.borrow().forwarders.probers(now, request)
+    }
+
     /// Returns the version of the configuration that forwarded requests must at least be based on.
     pub fn forwarded_version(&self) -> u64 {
         let state = self.state.borrow();
@@ -298,7 +306,8 @@
         let previous = std::mem::replace(&mut state.endpoints, endpoints);
         state.keep_departed(now, previous);
         state.relays.update(&view, &self.settings.domain);
-        state.forwarders.update(&view, &self.settings.host, &self.settings.domain);
+        state.forwarders.update(&view, &names, &self.settings.host, &self.settings.domain);
+        state.context.crashes.set_alert_receivers(self.alert_receivers(&view, &names));
         let shared = |(name, endpoints): (_, Vec<_>)| (name, Rc::from(endpoints));
         state.services = services.into_iter().map(shared).collect();
         state.waiting.retain(|_, waiting| Rc::strong_count(waiting) > 1);
@@ -457,6 +466,15 @@
         act(state.budgets.entry(service.into()).or_insert(budget))
     }
 
+    /// Returns the addresses of the other advertised hosts, those in this host's failure domain first.
+    /// Callers repeat their requests there.
+    fn alert_receivers(&self, view: &View, advertised: &[Box<str>]) -> Vec<SocketAddr> {
+        let others = advertised.iter().filter(|name| **name != self.settings.host);
+        let mut others: Vec<_> = others.filter_map(|name| view.hosts.get(name)).collect();
+        others.sort_by_key(|host| host.domain != self.settings.domain);
+        others.into_iter().filter_map(|host| host.relay).take(MAX_RECEIVERS).collect()
+    }
+
     /// Returns this host's part of the fixed allowance of extra attempts per service and window;
     /// see [`ADVERTISED_SLACK_RATIO`].
     fn slack(&self, view: &View, advertised: &Advertised) -> f64 {
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -2,7 +2,7 @@
 
 use std::convert::Infallible;
 use std::future::Future;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -36,6 +36,17 @@
     Ok(listener)
 }
 
+/// Binds a socket for datagrams to an address.
+///
+/// # Errors
+///
+/// Returns an error when the address is in use or does not belong to this machine.
+pub fn bind_datagrams(address: SocketAddr) -> Result<UdpSocket> {
+    let socket = UdpSocket::bind(address).map_err(|error| Error::bind(address, error))?;
+    socket.set_nonblocking(true).map_err(|error| Error::bind(address, error))?;
+    Ok(socket)
+}
+
 /// Registers a listener with the current runtime.
 ///
 /// # Panics
--- a/crates/node/src/start.rs
+++ b/crates/node/src/start.rs
@@ -13,7 +13,7 @@
 use crate::front::Front;
 use crate::metrics::Metrics;
 use crate::reporter::MAX_WAITING;
-use crate::server::listen;
+use crate::server::{bind_datagrams, listen};
 
 /// Maximum number of departures of upstreams that wait for the control thread. Further ones are
 /// dropped, since each answer of a leaving upstream states its departure again.
@@ -55,6 +55,7 @@
     process: &mut Process<kernel::Starting>,
 ) -> Result<()> {
     let relay = listen(settings.relay)?;
+    let alerts = bind_datagrams(settings.relay)?;
     let peer = listen(settings.peer)?;
     settings.relay = options.advertised_relay.unwrap_or(settings.relay);
     settings.peer = options.advertised_peer.unwrap_or(settings.peer);
@@ -81,7 +82,7 @@
     let traffic = shared.clone();
     let channels = crate::front::Channels { views, reports: reports.clone(), isolated, departures };
     let thread = kernel::spawn_local("traffic", move || {
-        let listeners = crate::front::Listeners { front, relay };
+        let listeners = crate::front::Listeners { front, relay, alerts };
         Front::run(traffic, listeners, channels)
     })?;
     process.add_thread(thread);
--- a/crates/node/tests/crash.rs
+++ b/crates/node/tests/crash.rs
@@ -53,6 +53,22 @@
     }
 }
 
+/// Returns the number of hosts that the directory of a host names to callers.
+async fn advertised(node: &Node) -> usize {
+    let url = format!("http://{}/pistachiorock/resolve?zone=perth-1", node.directory);
+    let answer = support::client().get(url).send().await.expect("the host answers");
+    let body: serde_json::Value = answer.json().await.expect("JSON");
+    body["addrs"].as_array().map_or(0, Vec::len)
+}
+
+/// Waits until the directory of each host names all of them, so that callers may use any.
+async fn until_known(nodes: &[&Node]) {
+    for node in nodes {
+        until("the directory names all hosts", || async { advertised(node).await == nodes.len() })
+            .await;
+    }
+}
+
 /// Waits until a host refuses the request.
 async fn until_refused(node: &Node) {
     until("the request is refused", || async {
@@ -221,7 +237,7 @@
     let world = start(2).await;
     let first = Node::ready_in("perth-1", "a", &world).await;
     let second = Node::ready_in("perth-2", "b", &world).await;
-    until("both hosts are registered", || async { world.kv.keys("hosts/").len() == 2 }).await;
+    until_known(&[&first, &second]).await;
     let total = || (0..3).map(|shard| crashes(&world, &format!("shard-{shard}"))).sum::<usize>();
     first.get("/all/crashing", "first").await;
     tokio::time::sleep(CLOSE_TIME).await;
@@ -230,3 +246,63 @@
     let probes = total() - before;
     assert!(probes <= 1, "{probes} more upstreams crashed after the first {before}");
 }
+
+/// Sends a query at all hosts at once and waits for the answers.
+async fn send_at_once(nodes: &[Node], prefix: &str) -> Vec<u16> {
+    let calls = nodes.iter().enumerate().map(|(number, node)| {
+        let call = node.call(Method::GET, "/all/crashing", &format!("{prefix}-{number}"));
+        tokio::spawn(call.send())
+    });
+    let mut statuses = Vec::new();
+    for call in calls.collect::<Vec<_>>() {
+        statuses.push(call.await.expect("the task ends").expect("an answer").status().as_u16());
+    }
+    statuses
+}
+
+/// Guards against hosts that each send a probe at the same moment, because none has heard of the
+/// crashes of the others' yet.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_that_comes_at_many_hosts_at_once_crashes_one_upstream_more() {
+    let world = start(2).await;
+    let mut nodes = Vec::new();
+    for number in 0..4 {
+        let domain = format!("perth-{}", number % 2 + 1);
+        nodes.push(Node::ready_in(&domain, &format!("h{number}"), &world).await);
+    }
+    until_known(&nodes.iter().collect::<Vec<_>>()).await;
+    let total = || (0..3).map(|shard| crashes(&world, &format!("shard-{shard}"))).sum::<usize>();
+    nodes[0].get("/all/crashing", "first").await;
+    let before = total();
+    assert!(before <= 3, "{before} upstreams crashed during one query");
+    for round in 0..3 {
+        let statuses = send_at_once(&nodes, &format!("round-{round}")).await;
+        assert!(statuses.iter().all(|status| [503, 504].contains(status)), "{statuses:?}");
+    }
+    assert!(total() <= before + 1, "{} more upstreams crashed", total() - before);
+    until("other queries are answered", || async {
+        nodes[2].get("/all/well", "well").await.status() == 200
+    })
+    .await;
+}
+
+/// Guards against a host that has restarted and knows nothing: it is told of the crashes with the
+/// request that another host passes to it.
+#[tokio::test(flavor = "multi_thread")]
+async fn restarted_host_learns_of_crashes_from_the_host_that_passes_the_request() {
+    let world = start(2).await;
+    let first = Node::ready_in("perth-1", "a", &world).await;
+    let second = Node::ready_in("perth-2", "b", &world).await;
+    until_known(&[&first, &second]).await;
+    let total = || (0..3).map(|shard| crashes(&world, &format!("shard-{shard}"))).sum::<usize>();
+    first.get("/all/crashing", "first").await;
+    second.stop().join().expect("the host stops");
+    let second = Node::ready_in("perth-2", "b", &world).await;
+    until_known(&[&first, &second]).await;
+    let before = total();
+    for number in 0..4 {
+        second.get("/all/crashing", &format!("second-{number}")).await;
+        first.get("/all/crashing", &format!("third-{number}")).await;
+    }
+    assert!(total() <= before + 2, "{} more upstreams crashed", total() - before);
+}
--- a/crates/pick/src/lib.rs
+++ b/crates/pick/src/lib.rs
@@ -34,6 +34,6 @@
 pub use crate::cold_start::ColdStart;
 pub use crate::hosts::Hosts;
 pub use crate::isolation::Isolation;
-pub use crate::rank::ranks_first;
+pub use crate::rank::{ranked, ranks_first};
 pub use crate::rate_limit::{RateLimit, queue_time};
 pub use crate::replica::{Outcome, Replica, Token};
--- a/crates/pick/src/rank.rs
+++ b/crates/pick/src/rank.rs
@@ -20,6 +20,14 @@
     hosts.into_iter().filter(|other| *other != host && weight(upstream, other) > own).count()
 }
 
+/// Returns `hosts` in descending order of their rendezvous hashes for `key`, each once.
+pub fn ranked<'a>(key: &str, hosts: impl IntoIterator<Item = &'a str>) -> Vec<&'a str> {
+    let mut hosts: Vec<_> = hosts.into_iter().map(|host| weight(key, host)).collect();
+    hosts.sort_unstable_by(|a, b| b.cmp(a));
+    hosts.dedup();
+    hosts.into_iter().map(|(_, host)| host).collect()
+}
+
 fn weight<'a>(upstream: &str, host: &'a str) -> (u64, &'a str) {
     (xxh3_64_with_seed(host.as_bytes(), xxh3_64_with_seed(upstream.as_bytes(), 0)), host)
 }
--- a/crates/pick/tests/pick.rs
+++ b/crates/pick/tests/pick.rs
@@ -3,7 +3,7 @@
 
 use std::time::{Duration, Instant};
 
-use pick::{Candidate, ColdStart, Outcome, Replica, choose, ranks_first};
+use pick::{Candidate, ColdStart, Outcome, Replica, choose, ranked, ranks_first};
 
 const TYPICAL: Duration = Duration::from_millis(8);
 
@@ -139,6 +139,20 @@
     }
 }
 
+#[test]
+fn ranking_is_the_same_for_all_orders_of_hosts_and_begins_with_the_first() {
+    let hosts = ["a", "b", "c", "d", "b"];
+    for key in ["i-1", "i-2", "i-3"] {
+        let ranking = ranked(key, hosts);
+        assert_eq!(ranking.len(), 4);
+        assert_eq!(ranking, ranked(key, hosts.into_iter().rev()));
+        assert!(ranks_first(key, ranking[0], hosts));
+        // The next host takes over when the first is lost.
+        let others = hosts.into_iter().filter(|host| *host != ranking[0]);
+        assert_eq!(ranked(key, others), ranking[1..]);
+    }
+}
+
 #[test]
 fn lost_host_changes_the_rank_of_its_own_upstreams_only() {
     let before = ["a", "b", "c", "d"];
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -4,10 +4,11 @@
 use std::time::{Duration, Instant};
 
 use crate::recent::Recent;
+use crate::suspects::Suspects;
 use crate::{AttemptId, Fingerprint, Strike};
 
 /// Number of crashes from which a request is refused.
-const MIN_CRASHES: u32 = 3;
+pub const MIN_CRASHES: u32 = 3;
 
 /// Maximum number of crashes that count of one attempt of a caller. All upstreams of a query may
 /// crash at once for another reason, as when a failure domain is lost, so that a single attempt
@@ -43,6 +44,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
     answered: Recent,
+    suspects: Suspects,
     requests: BTreeMap<Fingerprint, BTreeMap<AttemptId, Record>>,
 }
 
@@ -76,6 +78,7 @@
     /// Records that an upstream has answered the request.
     pub fn record_answer(&mut self, now: Instant, request: Fingerprint) {
         self.answered.insert(now, request);
+        self.suspects.clear(request);
         let attempts = self.requests.get_mut(&request).into_iter().flatten();
         attempts.for_each(|(_, record)| record.refuted = true);
     }
@@ -86,16 +89,42 @@
         record.crashes = record.crashes.max(strike.crashes.min(MAX_CRASHES_PER_ATTEMPT));
     }
 
+    /// Makes a request a suspect for some seconds, because a connection to an upstream broke during an
+    /// attempt of a caller, or an upstream crashed. Returns whether that is new; a request that was
+    /// answered a short time ago is no suspect. With [`MIN_CRASHES`], the request is refused meanwhile.
+    pub fn suspect(&mut self, now: Instant, strike: Strike) -> bool {
+        !self.answered.contains(now, strike.request) && self.suspects.insert(now, strike)
+    }
+
+    /// Returns since when a request has been a suspect whose crashes are not yet certain, or `None` if
+    /// it is not.
+    pub fn suspected_since(&self, now: Instant, request: Fingerprint) -> Option<Instant> {
+        self.suspects.since(now, request)
+    }
+
+    /// Returns why a request is a suspect, for a host that may not know it yet.
+    pub fn evidence(&self, now: Instant, request: Fingerprint) -> Vec<Strike> {
+        let attempts = self.requests.get(&request).into_iter().flatten();
+        let counting = attempts.filter(|(_, record)| record.counts(now));
+        let strikes = counting.map(|(attempt, record)| Strike {
+            request,
+            attempt: *attempt,
+            crashes: record.crashes,
+        });
+        strikes.chain(self.suspects.of(now, request).map(|(strike, _)| strike)).collect()
+    }
+
     /// Returns the strike of an attempt, unless it was refuted or has expired.
     pub fn strike(&self, now: Instant, request: Fingerprint, attempt: AttemptId) -> Option<Strike> {
         let record = self.requests.get(&request)?.get(&attempt)?;
         record.counts(now).then_some(Strike { request, attempt, crashes: record.crashes })
     }
 
-    /// Returns whether the request may be the cause of a crash. Such a request should be sent to
-    /// one upstream first.
+    /// Returns whether the request may be the cause of a crash, which may not be certain yet. Such a
+    /// request should be sent to one upstream first.
     pub fn is_suspect(&self, now: Instant, request: Fingerprint) -> bool {
         self.records(now, request).next().is_some()
+            || self.suspects.of(now, request).next().is_some()
     }
 
     /// Returns whether an attempt that was sent at `sent` was a probe, since a crash during another
@@ -108,6 +137,11 @@
 
     /// Returns until when the request is refused, or `None` if it is not.
     pub fn refused_until(&self, now: Instant, request: Fingerprint) -> Option<Instant> {
+        self.strikes_until(now, request).or_else(|| self.suspicions_until(now, request))
+    }
+
+    /// Returns until when the strikes alone refuse the request.
+    fn strikes_until(&self, now: Instant, request: Fingerprint) -> Option<Instant> {
         let mut records: Vec<&Record> = self.records(now, request).collect();
         records.sort_by_key(|record| std::cmp::Reverse(record.expires));
         let mut crashes = 0;
@@ -118,6 +152,17 @@
         last.map(|record| record.expires)
     }
 
+    /// Returns until when the request is refused because of crashes that may not be strikes yet.
+    fn suspicions_until(&self, now: Instant, request: Fingerprint) -> Option<Instant> {
+        let until = self.suspects.of(now, request).map(|(_, expires)| expires).max()?;
+        let mut crashes: BTreeMap<AttemptId, u32> = BTreeMap::new();
+        for strike in self.evidence(now, request) {
+            let known = crashes.entry(strike.attempt).or_default();
+            *known = strike.crashes.max(*known);
+        }
+        (crashes.values().sum::<u32>() >= MIN_CRASHES).then_some(until)
+    }
+
     fn records(&self, now: Instant, request: Fingerprint) -> impl Iterator<Item = &Record> {
         let records = self.requests.get(&request).into_iter().flat_map(BTreeMap::values);
         records.filter(move |record| record.counts(now))
--- a/crates/quarantine/src/strike.rs
+++ b/crates/quarantine/src/strike.rs
@@ -1,5 +1,6 @@
 //! Records of crashes that hosts exchange.
 
+use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::Fingerprint;
@@ -13,13 +14,26 @@
 }
 
 /// One attempt of a caller during which upstreams crashed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Strike {
     /// Content of the request.
     pub request: Fingerprint,
     /// The attempt of the caller.
     pub attempt: AttemptId,
     /// Number of upstreams that crashed, at most
-    /// [`MAX_CRASHES_PER_ATTEMPT`](crate::MAX_CRASHES_PER_ATTEMPT).
+    /// [`MAX_CRASHES_PER_ATTEMPT`](crate::MAX_CRASHES_PER_ATTEMPT) in the store. Zero while it is not
+    /// certain that one has.
     pub crashes: u32,
 }
+
+impl Strike {
+    /// Encodes the strike for a datagram to another host.
+    pub fn encode(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).expect("a strike in memory is always encodable")
+    }
+
+    /// Decodes a datagram of another host, or returns `None` if it holds no strike.
+    pub fn decode(bytes: &[u8]) -> Option<Self> {
+        postcard::from_bytes(bytes).ok()
+    }
+}
--- a/crates/quarantine/tests/quarantine.rs
+++ b/crates/quarantine/tests/quarantine.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use quarantine::{Quarantine, STRIKE_TTL, Strike, fingerprint};
+use quarantine::{MIN_CRASHES, Quarantine, STRIKE_TTL, Strike, fingerprint};
 
 const REQUEST: u64 = 7;
 
@@ -159,3 +159,103 @@
     ];
     assert!(others.iter().all(|other| *other != base));
 }
+
+fn suspicion(attempt: u64, crashes: u32) -> Strike {
+    Strike { request: REQUEST, attempt, crashes }
+}
+
+/// Guards against a caller that repeats a request before it is certain that an upstream has crashed.
+#[test]
+fn suspected_request_is_not_refused_without_crashes() {
+    let now = Instant::now();
+    let mut quarantine = Quarantine::default();
+    for attempt in 0..9 {
+        assert!(quarantine.suspect(now, suspicion(attempt, 0)), "the suspicion is new");
+        assert!(!quarantine.suspect(now, suspicion(attempt, 0)), "the suspicion is known");
+    }
+    assert!(quarantine.is_suspect(now, REQUEST));
+    assert_eq!(quarantine.refused_until(now, REQUEST), None);
+    assert!(!quarantine.is_suspect(now + Duration::from_secs(10), REQUEST));
+}
+
+/// Guards against more probes while the reports of crashes are on their way through the store.
+#[test]
+fn told_crashes_refuse_a_request_until_they_are_reported() {
+    let now = Instant::now();
+    let soon = now + Duration::from_millis(30);
+    let mut quarantine = Quarantine::default();
+    quarantine.suspect(now, suspicion(1, 0));
+    quarantine.suspect(soon, suspicion(1, 2));
+    assert_eq!(quarantine.refused_until(soon, REQUEST), None);
+    // The crash of a probe of this host counts once, whether as a strike or as a suspicion.
+    assert!(quarantine.record_crash(soon, REQUEST, 2));
+    quarantine.suspect(soon, suspicion(2, 1));
+    let until = soon + Duration::from_secs(10);
+    assert_eq!(quarantine.refused_until(soon, REQUEST), Some(until));
+    assert_eq!(quarantine.refused_until(until, REQUEST), None);
+    quarantine.learn(until, suspicion(1, 2));
+    assert_eq!(quarantine.refused_until(until, REQUEST), Some(soon + STRIKE_TTL));
+}
+
+/// Guards against a probe that crashes the last replica of a shard, when the upstreams that crashed
+/// are not back yet.
+#[test]
+fn accused_request_is_refused_without_a_probe_and_probed_later() {
+    let now = Instant::now();
+    let mut quarantine = Quarantine::default();
+    quarantine.learn(now, suspicion(1, 2));
+    quarantine.suspect(now, suspicion(1, MIN_CRASHES));
+    let until = quarantine.refused_until(now, REQUEST).expect("the request is refused");
+    assert_eq!(quarantine.refused_until(until, REQUEST), None);
+    assert!(quarantine.is_suspect(until, REQUEST));
+}
+
+/// Guards against suspecting the queries that were on the upstreams of a lost failure domain for
+/// longer than until the next answer.
+#[test]
+fn answer_ends_a_suspicion() {
+    let now = Instant::now();
+    let mut quarantine = Quarantine::default();
+    (1..5).for_each(|attempt| _ = quarantine.suspect(now, suspicion(attempt, 2)));
+    assert!(quarantine.refused_until(now, REQUEST).is_some());
+    quarantine.record_answer(now, REQUEST);
+    assert!(!quarantine.is_suspect(now, REQUEST));
+    assert_eq!(quarantine.refused_until(now, REQUEST), None);
+    assert!(!quarantine.suspect(now, suspicion(5, 2)), "the request was answered a moment ago");
+    assert!(quarantine.evidence(now, REQUEST).is_empty());
+}
+
+/// Guards against connections that break in large numbers and push out what is known of a request that
+/// does crash upstreams.
+#[test]
+fn suspicions_do_not_push_out_strikes() {
+    let start = Instant::now();
+    let mut quarantine = Quarantine::default();
+    crash(&mut quarantine, start, 0..3);
+    let other = |number| Strike { request: 1_000 + number, attempt: number, crashes: 0 };
+    let at = |number| start + Duration::from_micros(number);
+    for number in 0..5_000 {
+        quarantine.suspect(at(number), other(number));
+    }
+    assert!(quarantine.refused_until(at(5_000), REQUEST).is_some());
+    let kept = (0..5_000).filter(|number| quarantine.is_suspect(at(5_000), 1_000 + number));
+    assert_eq!(kept.count(), 1_024);
+}
+
+#[test]
+fn evidence_names_strikes_and_suspicions() {
+    let now = Instant::now();
+    let mut quarantine = Quarantine::default();
+    crash(&mut quarantine, now, 1..2);
+    quarantine.suspect(now, suspicion(2, 0));
+    assert_eq!(quarantine.evidence(now, REQUEST), [suspicion(1, 1), suspicion(2, 0)]);
+    assert!(quarantine.evidence(now, REQUEST + 1).is_empty());
+}
+
+#[test]
+fn alert_is_decoded_as_it_was_encoded() {
+    let strike = Strike { request: u64::MAX, attempt: 5, crashes: 2 };
+    assert_eq!(Strike::decode(&strike.encode()), Some(strike));
+    assert_eq!(Strike::decode(&[]), None);
+    assert_eq!(Strike::decode(&[0xff; 64]), None);
+}
