Hedge a query without an answer one part at a time

While no part of a query is answered, one hedge in each hedge delay is enough to show that other upstreams answer. What decides that moves from fanout to hedge::Confidence.

Ruled out: waiting for twice the hedge delay, 29 ms here; the first crash came later.

--- a/crates/hedge/src/lib.rs
+++ b/crates/hedge/src/lib.rs
@@ -9,7 +9,8 @@
 //! attempts. [`WindowBudget`], that of `pistachio-node`, keeps them under a limit that all hosts
 //! share and that holds in any window of time.
 //!
-//! [`Attempts`] decides which attempts one request of `pistachio-node` may still make. Reasons are
+//! [`Attempts`] decides which attempts one request of `pistachio-node` may still make, and
+//! [`Confidence`] whether a query may be spread further before a part of it is answered. Reasons are
 //! in `docs/design/hedging.md`.
 //!
 //! ```
@@ -24,11 +25,13 @@
 //! ```
 
 mod attempts;
+mod confidence;
 mod delay;
 mod token_budget;
 mod window_budget;
 
 pub use crate::attempts::{Attempts, Failure};
+pub use crate::confidence::Confidence;
 pub use crate::delay::{Delay, DelayBuilder};
 pub use crate::token_budget::TokenBudget;
 pub use crate::window_budget::{Purpose, WindowBudget};
--- a/crates/node/src/fanout.rs
+++ b/crates/node/src/fanout.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use futures::future::LocalBoxFuture;
 use futures::stream::{FuturesUnordered, StreamExt};
-use hedge::{Attempts, Failure, Purpose};
+use hedge::{Attempts, Confidence, Failure, Purpose};
 use hyper::Method;
 use relay::{REQUEST_HEADER, Request};
 use table::{Domain, Route, ServiceName};
@@ -52,14 +52,6 @@
 /// fewer queries.
 const MIN_SATURATED_RATIO: f64 = 0.25;
 
-/// Number of attempts without an answer after which a query gets no more if none of its parts was
-/// answered. The request itself is then the probable cause, and more attempts would only spread it.
-const MAX_UNANSWERED_FAILURES: usize = 3;
-
-/// Multiple of the hedge delay after which a query is hedged even if none of its parts was answered.
-/// A query that crashes upstreams has crashed one by then, and hedges would spread it.
-const UNANSWERED_HEDGE_FACTOR: u32 = 2;
-
 /// Progress of a request.
 #[derive(Debug)]
 pub enum Event {
@@ -114,14 +106,10 @@
     max_records: usize,
     /// Number of ended attempts at saturated upstreams, hedges and retries included.
     saturated: usize,
-    /// Number of parts that were answered.
-    answers: usize,
-    /// Number of attempts that may have run and ended without a usable answer.
-    failures: usize,
-    /// Failure domains of the upstreams of these attempts.
+    /// Whether the request itself may be the cause of its failures.
+    confidence: Confidence,
+    /// Failure domains of the upstreams at which attempts failed that may have run.
     failed_domains: BTreeSet<Domain>,
-    /// Whether the first part must be answered before another one is sent.
-    probing: bool,
     next_due: Option<Instant>,
     in_flight: FuturesUnordered<LocalBoxFuture<'static, Completed>>,
     timer: Pin<Box<Sleep>>,
@@ -156,7 +144,7 @@
             answered: false,
             counted: false,
         };
-        let probing = outgoing.is_probe();
+        let confidence = Confidence::new(services.len(), outgoing.is_probe());
         Self {
             latency: registry.latency(route),
             registry,
@@ -167,10 +155,8 @@
             spare: services.len().saturating_sub(min_parts),
             max_records,
             saturated: 0,
-            answers: 0,
-            failures: 0,
+            confidence,
             failed_domains: BTreeSet::new(),
-            probing,
             next_due: None,
             in_flight: FuturesUnordered::new(),
             timer: Box::pin(sleep_until(Instant::now().into())),
@@ -191,7 +177,7 @@
         // Relays remove the header, also if it came from the caller, and an answer to HEAD has no
         // body that could carry a batch.
         let has_relay_header = self.outgoing.call.headers.contains_key(REQUEST_HEADER);
-        if self.probing || has_relay_header || self.outgoing.method == Method::HEAD {
+        if self.outgoing.is_probe() || has_relay_header || self.outgoing.method == Method::HEAD {
             return self.start(now);
         }
         let hedge_delay = self.latency.borrow().hedge_delay();
@@ -251,9 +237,7 @@
     /// Returns whether several upstreams in different failure domains have failed and none has answered,
     /// which the loss of one failure domain does not explain.
     pub fn has_failed_everywhere(&self) -> bool {
-        self.answers == 0
-            && self.failures >= MAX_UNANSWERED_FAILURES
-            && self.failed_domains.len() > 1
+        self.confidence.has_only_failed() && self.failed_domains.len() > 1
     }
 
     /// Returns whether so many attempts met saturated upstreams that fewer queries should be
@@ -331,30 +315,13 @@
         lost
     }
 
-    /// Returns whether all attempts so far may have failed because of the request itself.
-    fn is_unproven(&self) -> bool {
-        self.answers == 0 && (self.probing || self.parts.len() > 1 && self.failures > 0)
-    }
-
-    /// Returns whether so many attempts have failed that an unproven request gets no more.
-    fn has_failed(&self) -> bool {
-        self.failures >= if self.probing { 1 } else { MAX_UNANSWERED_FAILURES }
-    }
-
     fn hedge(&mut self, now: Instant, index: usize) {
-        if self.is_unproven() {
-            return self.schedule(now + RETRY_DELAY, index);
-        }
         let part = &self.parts[index];
         if !part.attempts.may_hedge() {
             return;
         }
-        if self.parts.len() > 1 && self.answers == 0 {
-            let delay = self.latency.borrow().hedge_delay() * UNANSWERED_HEDGE_FACTOR;
-            let due = part.first_sent.map_or(now, |sent| sent + delay);
-            if now < due {
-                return self.schedule(due.min(now + RETRY_DELAY), index);
-            }
+        if !self.confidence.allows_hedge(now) {
+            return self.schedule(now + RETRY_DELAY, index);
         }
         let endpoints = self.registry.endpoints(&part.service);
         let others = endpoints.iter().filter(|endpoint| {
@@ -373,6 +340,7 @@
             return;
         }
         self.metrics.hedges.inc();
+        self.confidence.hedged(now, self.latency.borrow().hedge_delay());
         self.launch(now, index, &endpoint, Origin::HEDGE);
     }
 
@@ -382,13 +350,13 @@
         if now + MIN_REMAINING_TIME >= self.outgoing.deadline {
             return false;
         }
-        if self.is_unproven() {
+        if self.confidence.is_doubtful() {
             // An answer to any part shows that the request is not the cause of the failures.
             if self.parts.iter().any(|part| part.attempts.is_running()) {
                 self.schedule(now + RETRY_DELAY, index);
                 return true;
             }
-            if self.has_failed() {
+            if self.confidence.is_lost() {
                 self.parts[index].obstacle.get_or_insert("no part of the query was answered");
                 return false;
             }
@@ -540,13 +508,13 @@
             Completion::Replied(reply) if reply.is_usable() => {
                 part.done = true;
                 part.answered = true;
-                self.answers += 1;
+                self.confidence.answered();
                 return Some(Event::Part(index, reply));
             }
             Completion::Merged { .. } => {
                 part.done = true;
                 part.answered = true;
-                self.answers += 1;
+                self.confidence.answered();
                 return None;
             }
             Completion::Replied(reply) => {
@@ -571,7 +539,7 @@
             }
         };
         if end == Failure::Unknown {
-            self.failures += 1;
+            self.confidence.failed();
             self.failed_domains.insert(endpoint.upstream.domain.clone());
         }
         let may_retry = part.attempts.ended(&endpoint.upstream.id, end);
