--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -432,7 +432,7 @@
         endpoints: impl Iterator<Item = &'a Rc<Endpoint>>,
         preferred: Option<&str>,
     ) -> Option<Rc<Endpoint>> {
-        let endpoints: Vec<_> = endpoints.filter(|endpoint| endpoint.has_room()).collect();
+        let endpoints: Vec<_> = endpoints.filter(|endpoint| !endpoint.replaced.get()).collect();
         let replicas: Vec<_> = endpoints.iter().map(|endpoint| endpoint.replica.borrow()).collect();
         let penalty = |endpoint: &Endpoint| match preferred {
             _ if !endpoint.remote => Duration::ZERO,
@@ -443,7 +443,11 @@
         };
         let pairs = endpoints.iter().zip(&replicas);
         let candidates: Vec<_> = pairs
-            .map(|(endpoint, replica)| Candidate { replica, penalty: penalty(endpoint) })
+            .map(|(endpoint, replica)| Candidate {
+                replica,
+                penalty: penalty(endpoint),
+                has_room: endpoint.has_room(),
+            })
             .collect();
         let draw = self.state.borrow_mut().random.random();
         let index = pick::choose(now, typical, &candidates, draw)?;
--- a/crates/node/src/relays.rs
+++ b/crates/node/src/relays.rs
@@ -72,7 +72,7 @@
         let replicas: Vec<_> = peers.iter().map(|peer| peer.replica.borrow()).collect();
         let penalty = Duration::ZERO;
         let candidates: Vec<_> =
-            replicas.iter().map(|replica| Candidate { replica, penalty }).collect();
+            replicas.iter().map(|replica| Candidate { replica, penalty, has_room: true }).collect();
         let index = pick::choose(now, flush_timeout, &candidates, draw)?;
         Some(Rc::clone(peers[index]))
     }
--- a/crates/pick/src/lib.rs
+++ b/crates/pick/src/lib.rs
@@ -17,7 +17,7 @@
 //! let (mut slow, fast) = (Replica::new(2), Replica::new(2));
 //! let token = slow.begin(now);
 //! slow.end(now, token, Outcome::Answered { time: typical * 9, typical });
-//! let local = |replica| Candidate { replica, penalty: Duration::ZERO };
+//! let local = |replica| Candidate { replica, penalty: Duration::ZERO, has_room: true };
 //! assert_eq!(pick::choose(now, typical, &[local(&slow), local(&fast)], 0), Some(1));
 //! ```
 
--- a/crates/pick/tests/pick.rs
+++ b/crates/pick/tests/pick.rs
@@ -12,7 +12,7 @@
 }
 
 fn local_candidate(replica: &Replica) -> Candidate<'_> {
-    Candidate { replica, penalty: Duration::ZERO }
+    Candidate { replica, penalty: Duration::ZERO, has_room: true }
 }
 
 fn end(replica: &mut Replica, now: Instant, outcome: Outcome) {
@@ -24,7 +24,7 @@
 fn local_replica_is_preferred_until_it_is_slow() {
     let now = Instant::now();
     let (mut local, remote) = (Replica::new(2), Replica::new(2));
-    let remote_candidate = Candidate { replica: &remote, penalty: TYPICAL * 2 };
+    let remote_candidate = Candidate { replica: &remote, penalty: TYPICAL * 2, has_room: true };
     assert_eq!(choose(now, TYPICAL, &[local_candidate(&local), remote_candidate], 0), Some(0));
     for _ in 0..6 {
         end(&mut local, now, Outcome::Answered { time: TYPICAL * 9, typical: TYPICAL });
@@ -36,7 +36,7 @@
 fn replica_that_refuses_is_avoided_for_a_remote_one() {
     let now = Instant::now();
     let (mut local, remote) = (Replica::new(2), Replica::new(2));
-    let remote_candidate = Candidate { replica: &remote, penalty: TYPICAL * 2 };
+    let remote_candidate = Candidate { replica: &remote, penalty: TYPICAL * 2, has_room: true };
     end(&mut local, now, Outcome::Refused);
     assert_eq!(choose(now, TYPICAL, &[local_candidate(&local), remote_candidate], 0), Some(1));
 }
@@ -48,7 +48,7 @@
     for _ in 0..6 {
         end(&mut slow, now, Outcome::Answered { time: TYPICAL * 9, typical: TYPICAL });
     }
-    let remote_candidate = Candidate { replica: &other, penalty: TYPICAL };
+    let remote_candidate = Candidate { replica: &other, penalty: TYPICAL, has_room: true };
     assert_eq!(choose(now, TYPICAL, &[local_candidate(&slow), remote_candidate], 0), Some(1));
     let later = now + Duration::from_secs(8);
     assert_eq!(choose(later, TYPICAL, &[local_candidate(&slow), remote_candidate], 0), Some(0));
@@ -59,7 +59,7 @@
     let now = Instant::now();
     let (mut stalled, other) = (Replica::new(2), Replica::new(2));
     stalled.begin(now);
-    let remote_candidate = Candidate { replica: &other, penalty: TYPICAL };
+    let remote_candidate = Candidate { replica: &other, penalty: TYPICAL, has_room: true };
     assert_eq!(
         choose(now + ms(8), TYPICAL, &[local_candidate(&stalled), remote_candidate], 0),
         Some(0)
@@ -75,7 +75,7 @@
     let now = Instant::now();
     let (mut lost, other) = (Replica::new(2), Replica::new(2));
     end(&mut lost, now, Outcome::Lost);
-    let remote_candidate = Candidate { replica: &other, penalty: TYPICAL * 100 };
+    let remote_candidate = Candidate { replica: &other, penalty: TYPICAL * 100, has_room: true };
     assert_eq!(choose(now, TYPICAL, &[local_candidate(&lost), remote_candidate], 0), Some(1));
     assert_eq!(choose(now, TYPICAL, &[local_candidate(&lost)], 0), Some(0));
 }
@@ -130,6 +130,24 @@
     assert_eq!(choose(now + ms(3_000), TYPICAL, &[local_candidate(&replica)], 0), Some(0));
 }
 
+/// Guards against queries that fail within milliseconds when one replica of some shards is gone: while
+/// all connections to the other are in use, each attempt met the one that refuses connections.
+#[test]
+fn replica_without_a_free_connection_is_waited_for_while_the_other_is_ejected() {
+    let now = Instant::now();
+    let (mut gone, busy) = (Replica::new(2), Replica::new(2));
+    end(&mut gone, now, Outcome::Lost);
+    let candidate = |replica, has_room| Candidate { replica, penalty: Duration::ZERO, has_room };
+    let choice = |has_room| {
+        let candidates = [candidate(&gone, true), candidate(&busy, has_room)];
+        choose(now, TYPICAL, &candidates, 0)
+    };
+    assert_eq!(choice(false), None);
+    assert_eq!(choice(true), Some(1));
+    // A replica that is alone is probed, and so is one when all others are gone, too.
+    assert_eq!(choose(now, TYPICAL, &[candidate(&gone, true)], 0), Some(0));
+}
+
 #[test]
 fn exactly_one_host_ranks_first() {
     let hosts = ["a", "b", "c", "d", "e"];
@@ -216,8 +234,11 @@
     assert_eq!(replicas[0].available_at(now), now + ms(3_000));
     assert!(!replicas[0].accepts_relayed(now));
     let choice = |at| {
-        let candidates =
-            replicas.each_ref().map(|replica| Candidate { replica, penalty: Duration::ZERO });
+        let candidates = replicas.each_ref().map(|replica| Candidate {
+            replica,
+            penalty: Duration::ZERO,
+            has_room: true,
+        });
         (0..2).map(|draw| choose(at, ms(10), &candidates, draw)).collect::<Vec<_>>()
     };
     assert_eq!(choice(now + ms(2_999)), [Some(1), Some(1)]);
