Log late answers with the upstream that served them

An answer after the objective had no line, so a late single request could not be traced from its id. It is logged like an incomplete one now; the detail of a single request names its last upstream and the time that it took.

--- a/crates/node/src/fanout.rs
+++ b/crates/node/src/fanout.rs
@@ -82,6 +82,8 @@
     obstacle: Option<&'static str>,
     done: bool,
     answered: bool,
+    /// Upstream of the last attempt that has ended, with the time that it took.
+    last: Option<(Rc<Endpoint>, Duration)>,
     /// Whether the request was counted for the attempt budget of the service.
     counted: bool,
 }
@@ -142,6 +144,7 @@
             obstacle: None,
             done: false,
             answered: false,
+            last: None,
             counted: false,
         };
         let confidence = Confidence::new(services.len(), outgoing.is_probe());
@@ -246,9 +249,10 @@
         self.saturated as f64 >= self.parts.len() as f64 * MIN_SATURATED_RATIO
     }
 
-    /// Describes up to [`MAX_DESCRIBED_PARTS`] parts without an answer for the log.
-    pub fn describe_missing(&self, now: Instant) -> String {
-        let missing = self.parts.iter().filter(|part| !part.answered).take(MAX_DESCRIBED_PARTS);
+    /// Describes up to [`MAX_DESCRIBED_PARTS`] parts without an answer, or the only part, for the log.
+    pub fn describe(&self, now: Instant) -> String {
+        let is_single = self.parts.len() == 1;
+        let described = self.parts.iter().filter(|part| is_single || !part.answered);
         let describe = |part: &Part| {
             let running = part.running.iter().map(|endpoint| {
                 let age = part.first_sent.map_or(0, |sent| (now - sent).as_millis());
@@ -256,9 +260,12 @@
             });
             let mut causes: Vec<String> = running.collect();
             causes.extend(part.obstacle.map(Into::into));
+            causes.extend(part.last.as_ref().filter(|_| is_single).map(|(endpoint, time)| {
+                format!("last attempt {} ms at {}", time.as_millis(), endpoint.upstream.id)
+            }));
             format!("{}: {}", part.service, causes.join(", "))
         };
-        missing.map(describe).collect::<Vec<_>>().join("; ")
+        described.take(MAX_DESCRIBED_PARTS).map(describe).collect::<Vec<_>>().join("; ")
     }
 
     /// Returns the next event; [`Event::Due`] once `until` is reached.
@@ -497,13 +504,14 @@
 
     /// Processes the end of an attempt; returns an event if it answers or loses the part.
     fn handle_finished(&mut self, now: Instant, finished: Finished) -> Option<Event> {
-        let Finished { part: index, endpoint, completion, .. } = finished;
+        let Finished { part: index, endpoint, completion, time } = finished;
         self.saturated += usize::from(completion.is_saturated());
         let part = &mut self.parts[index];
         part.running.retain(|running| !Rc::ptr_eq(running, &endpoint));
         if part.done {
             return None;
         }
+        part.last = Some((Rc::clone(&endpoint), time));
         let end = match completion {
             Completion::Replied(reply) if reply.is_usable() => {
                 part.done = true;
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -304,7 +304,7 @@
         response
     }
 
-    /// Counts an answer, and logs it if it is a failure, incomplete or a sample.
+    /// Counts an answer, and logs it if it is a failure, incomplete, late or a sample.
     fn record(&self, arrival: Instant, id: &str, path: &str, outcome: &Outcome) {
         let took = arrival.elapsed();
         let status = outcome.response.status();
@@ -312,7 +312,8 @@
         self.shared.metrics.latency.observe(took.as_secs_f64());
         self.answered.set(self.answered.get().wrapping_add(1));
         let sampled = self.answered.get().is_multiple_of(LOG_SAMPLE_INTERVAL);
-        if status.is_success() && outcome.missing == 0 && !sampled {
+        let late = outcome.route.as_ref().is_some_and(|route| took > route.objective);
+        if status.is_success() && outcome.missing == 0 && !late && !sampled {
             return;
         }
         log::info!(
@@ -499,7 +500,7 @@
             ),
             Event::Due => Outcome::error(StatusCode::GATEWAY_TIMEOUT, None, "timeout"),
         };
-        Outcome { detail: fanout.describe_missing(Instant::now()), ..outcome }
+        Outcome { detail: fanout.describe(Instant::now()), ..outcome }
     }
 
     async fn gather(
@@ -563,7 +564,7 @@
                     }
                     return Outcome {
                         missing: state.missing(),
-                        detail: fanout.describe_missing(Instant::now()),
+                        detail: fanout.describe(Instant::now()),
                         ..Outcome::error(StatusCode::GATEWAY_TIMEOUT, None, "too few parts in time")
                     };
                 }
@@ -583,8 +584,7 @@
         let body = Full::new(state.merge(shards.top_k));
         let response = platform::gather_response(&id, state.stamps(), missing, body);
         let cause = if missing == 0 { "complete answer" } else { "partial answer" };
-        let detail =
-            if missing == 0 { String::new() } else { fanout.describe_missing(Instant::now()) };
+        let detail = if missing == 0 { String::new() } else { fanout.describe(Instant::now()) };
         Outcome { response, cause, route: None, missing, detail }
     }
 }
