Try a slow replica again with one request at a time

What a host knows of a slow replica fades, and when it is tried again, several requests followed the first before its answer. While a request is in flight, the replica now counts as slow as it was.

The test slow_replica_is_tried_again_with_one_request_at_a_time fails without the change.

--- a/crates/pick/src/average.rs
+++ b/crates/pick/src/average.rs
@@ -26,6 +26,11 @@
         self.rest + self.excess * 0.5_f64.powf(age)
     }
 
+    /// Returns the value after the latest sample.
+    pub fn latest(&self) -> f64 {
+        self.rest + self.excess
+    }
+
     /// Moves the value towards a sample by `weight`, between 0 and 1.
     pub fn add(&mut self, now: Instant, sample: f64, weight: f64) {
         let old = self.get(now);
--- a/crates/pick/src/replica.rs
+++ b/crates/pick/src/replica.rs
@@ -284,6 +284,15 @@
         (age > max).then_some(age)
     }
 
+    /// Returns the expected ratio of the response time to the typical one.
+    ///
+    /// A replica that was slow is tried again after some time. While that request is in flight, the
+    /// replica counts as slow as it was, so that no others follow until the outcome is known.
+    fn expected_slowness(&self, now: Instant) -> f64 {
+        let slowness = self.slowness.get(now);
+        if self.in_flight.is_empty() { slowness } else { slowness.max(self.slowness.latest()) }
+    }
+
     /// Returns the selection cost of a request that takes `typical` on an idle replica: the
     /// expected response time plus penalties for recent failures and for a stall.
     pub fn cost(&self, now: Instant, typical: Duration) -> Duration {
@@ -291,7 +300,7 @@
         let queue = 1.0 + (load - f64::from(self.slots) + 1.0).max(0.0) / f64::from(self.slots);
         // A small cost per request balances equal replicas before their slots are full.
         let balance = 0.1 * load / f64::from(self.slots);
-        let ratio = self.slowness.get(now) * (queue + balance)
+        let ratio = self.expected_slowness(now) * (queue + balance)
             + self.failures.get(now).clamp(0.0, 1.0) * FAILURE_COST_FACTOR;
         // A stall that has lasted for some time is expected to last as long again.
         typical.mul_f64(ratio) + self.stalled_for(now, typical).unwrap_or_default()
--- a/crates/pick/tests/pick.rs
+++ b/crates/pick/tests/pick.rs
@@ -54,6 +54,29 @@
     assert_eq!(choose(later, TYPICAL, &[local_candidate(&slow), remote_candidate], 0), Some(0));
 }
 
+/// Guards against late requests at an upstream that is slow for seconds: each time that it was tried
+/// again, several requests followed the first one before its answer showed that it is still slow.
+#[test]
+fn slow_replica_is_tried_again_with_one_request_at_a_time() {
+    let now = Instant::now();
+    let (mut slow, other) = (Replica::new(6), Replica::new(6));
+    for _ in 0..6 {
+        end(&mut slow, now, Outcome::Answered { time: TYPICAL * 9, typical: TYPICAL });
+    }
+    let later = now + Duration::from_secs(8);
+    let remote_candidate = Candidate { replica: &other, penalty: TYPICAL, has_room: true };
+    assert_eq!(choose(later, TYPICAL, &[local_candidate(&slow), remote_candidate], 0), Some(0));
+    let probe = slow.begin(later);
+    assert_eq!(choose(later, TYPICAL, &[local_candidate(&slow), remote_candidate], 0), Some(1));
+    // Fast answers make it a replica like any other.
+    slow.end(later, probe, Outcome::Answered { time: TYPICAL, typical: TYPICAL });
+    for _ in 0..9 {
+        end(&mut slow, later, Outcome::Answered { time: TYPICAL, typical: TYPICAL });
+    }
+    slow.begin(later);
+    assert_eq!(choose(later, TYPICAL, &[local_candidate(&slow), remote_candidate], 0), Some(0));
+}
+
 #[test]
 fn stalled_replica_is_avoided_before_it_answers() {
     let now = Instant::now();
