--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -178,7 +178,7 @@
         );
         registry.register(
             "forwarded_requests",
-            "Requests forwarded to another host because this one reaches no upstream",
+            "Requests forwarded to another host",
             self.forwarded_requests.clone(),
         );
         registry.register(
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -37,10 +37,6 @@
 /// these hosts get requests only from callers with an outdated result of an address lookup.
 const ADVERTISED_SLACK_RATIO: f64 = 0.9;
 
-/// Fraction of an upstream's connection limit that all hosts together use. The rest is reserved for
-/// times when hosts come and go, because they then disagree about the number of hosts for a moment.
-const CONNECTION_LIMIT_RATIO: f64 = 0.85;
-
 /// Time for which a host is expected to keep its connections after it is no longer advertised.
 const ADVERTISED_TTL: Duration = Duration::from_secs(20);
 
@@ -86,6 +82,8 @@
     context: Rc<Context>,
     random: StdRng,
     recent_advertised: Option<(Instant, usize)>,
+    /// Whether callers are told to use this host.
+    is_advertised: bool,
     /// Fixed number of extra attempts that this host may send to each service per window, whatever
     /// the request rate.
     slack: f64,
@@ -186,6 +184,7 @@
             forwarders: Forwarders::default(),
             random: StdRng::seed_from_u64(seed),
             recent_advertised: None,
+            is_advertised: false,
             slack: 0.0,
         };
         Self { settings, state: RefCell::new(state) }
@@ -207,6 +206,11 @@
         state.forwarders.choose(now, state.random.random())
     }
 
+    /// Returns whether callers are told to use this host.
+    pub fn is_advertised(&self) -> bool {
+        self.state.borrow().is_advertised
+    }
+
     /// Returns the hosts that may send a suspected request to an upstream, in their order.
     pub fn probers(&self, now: Instant, request: Fingerprint) -> Vec<Prober> {
         self.state.borrow().forwarders.probers(now, request)
@@ -276,6 +280,7 @@
             count: state.recent_advertised(now, names.len()),
             includes_self: names.contains(&self.settings.host),
         };
+        state.is_advertised = advertised.includes_self;
         state.context.crashes.update(now, &view);
         state.context.hosts.borrow_mut().update(now, &names, view.hosts.len());
         let mut services: BTreeMap<ServiceName, Vec<Rc<Endpoint>>> = BTreeMap::new();
@@ -558,14 +563,11 @@
 }
 
 /// Returns the maximum number of connections to each upstream of a service. A host that is not
-/// advertised needs only one.
+/// advertised forwards its requests, and needs a connection only while it reaches no advertised host.
 fn max_connections(view: &View, service: &str, advertised: &Advertised) -> usize {
     if !advertised.includes_self {
         return 1;
     }
     let service = view.table.as_ref().and_then(|table| table.service(service));
-    let total = service.map_or(0.0, |service| f64::from(service.max_connections));
-    let others = view.hosts.len().saturating_sub(advertised.count) as f64;
-    let share = (total * CONNECTION_LIMIT_RATIO - others) / advertised.count as f64;
-    (share as usize).max(1)
+    pick::connection_share(service.map_or(0, |service| service.max_connections), advertised.count)
 }
--- a/crates/node/tests/crash.rs
+++ b/crates/node/tests/crash.rs
@@ -53,18 +53,10 @@
     }
 }
 
-/// Returns the number of hosts that the directory of a host names to callers.
-async fn advertised(node: &Node) -> usize {
-    let url = format!("http://{}/pistachiorock/resolve?zone=perth-1", node.directory);
-    let answer = support::client().get(url).send().await.expect("the host answers");
-    let body: serde_json::Value = answer.json().await.expect("JSON");
-    body["addrs"].as_array().map_or(0, Vec::len)
-}
-
 /// Waits until the directory of each host names all of them, so that callers may use any.
 async fn until_known(nodes: &[&Node]) {
     for node in nodes {
-        until("the directory names all hosts", || async { advertised(node).await == nodes.len() })
+        until("the directory names all hosts", || async { node.advertised().await == nodes.len() })
             .await;
     }
 }
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -216,6 +216,12 @@
         Self::start_with(&settings_in(domain, name, store, &[]))
     }
 
+    /// Starts a host in `perth-1` that has a tenth of the processor share of the others.
+    pub fn start_weak(name: &str, store: SocketAddr) -> Self {
+        let settings = settings(name, store, &[]);
+        Self::start_with(&settings.replace("cpu_share = 1.0", "cpu_share = 0.1"))
+    }
+
     fn start_with(settings: &str) -> Self {
         let settings = Settings::parse("test", settings).expect("the settings are complete");
         let metrics = free_address();
@@ -249,6 +255,22 @@
         answer.text().await.expect("text")
     }
 
+    /// Returns the number of hosts that the directory of the host names to callers in `perth-1`.
+    pub async fn advertised(&self) -> usize {
+        let url = format!("http://{}/pistachiorock/resolve?zone=perth-1", self.directory);
+        let answer = client().get(url).send().await.expect("the host answers");
+        let body: serde_json::Value = answer.json().await.expect("JSON");
+        body["addrs"].as_array().map_or(0, Vec::len)
+    }
+
+    /// Returns the value of a counter of the host.
+    pub async fn counter(&self, name: &str) -> u64 {
+        let prefix = format!("pistachio_node_{name}_total ");
+        let metrics = self.metrics().await;
+        let value = metrics.lines().find_map(|line| line.strip_prefix(&prefix));
+        value.expect("the counter exists").parse().expect("a number")
+    }
+
     /// Waits until the host is ready.
     pub async fn wait_ready(&self) {
         until("the host is ready", || async { self.is_ready().await }).await;
--- a/crates/pick/src/hosts.rs
+++ b/crates/pick/src/hosts.rs
@@ -19,6 +19,17 @@
 /// about the list of hosts for a moment then exceed no limit.
 const HOST_TTL: Duration = Duration::from_secs(20);
 
+/// Fraction of an upstream's connection limit that all hosts together use. The rest is reserved for
+/// times when hosts come and go, because they then disagree about the number of hosts for a moment.
+const CONNECTION_LIMIT_RATIO: f64 = 0.85;
+
+/// Returns how many connections each of `dialers` hosts may open to an upstream that accepts `limit`
+/// of all hosts together; at least one.
+pub fn connection_share(limit: u32, dialers: usize) -> usize {
+    let share = f64::from(limit) * CONNECTION_LIMIT_RATIO / dialers.max(1) as f64;
+    (share as usize).max(1)
+}
+
 /// The hosts among which the rate limits of upstreams are divided.
 ///
 /// Hosts do not coordinate before they send. Each takes a fixed part of every limit, which it
--- a/crates/pick/src/lib.rs
+++ b/crates/pick/src/lib.rs
@@ -32,7 +32,7 @@
 
 pub use crate::choice::{Candidate, choose};
 pub use crate::cold_start::ColdStart;
-pub use crate::hosts::Hosts;
+pub use crate::hosts::{Hosts, connection_share};
 pub use crate::isolation::Isolation;
 pub use crate::rank::{ranked, ranks_first};
 pub use crate::rate_limit::{RateLimit, queue_time};
--- a/crates/pick/tests/pick.rs
+++ b/crates/pick/tests/pick.rs
@@ -3,7 +3,7 @@
 
 use std::time::{Duration, Instant};
 
-use pick::{Candidate, ColdStart, Outcome, Replica, choose, ranked, ranks_first};
+use pick::{Candidate, ColdStart, Outcome, Replica, choose, connection_share, ranked, ranks_first};
 
 const TYPICAL: Duration = Duration::from_millis(8);
 
@@ -269,3 +269,16 @@
     replicas[1].pause(now, Duration::MAX);
     assert_eq!(replicas[1].available_at(now), now + Duration::from_secs(600));
 }
+
+/// Guards against hosts that may open a single connection to each upstream, because as much is set
+/// aside for each of some hundred hosts that open none.
+#[test]
+fn connections_are_divided_among_the_hosts_that_dial() {
+    assert_eq!(connection_share(120, 15), 6);
+    assert_eq!(connection_share(25, 6), 3);
+    assert_eq!(connection_share(10, 15), 1);
+    for dialers in 1..200 {
+        let total = connection_share(120, dialers) * dialers;
+        assert!(total <= 102 || dialers > 102, "{total} connections of {dialers} hosts");
+    }
+}
