Answer earlier on connections that callers have just opened

A query on a new connection is answered 8 ms earlier, and all 1 ms earlier than before.

The tests of gather::soft_deadline need no network.

--- a/crates/gather/src/lib.rs
+++ b/crates/gather/src/lib.rs
@@ -15,9 +15,11 @@
 //! ```
 
 mod availability;
+mod deadline;
 mod merge;
 mod state;
 
 pub use crate::availability::Availability;
+pub use crate::deadline::{Connection, soft_deadline};
 pub use crate::merge::{RECORD_BYTES, greatest};
 pub use crate::state::{Gather, Part, Step};
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -46,20 +46,10 @@
 /// Fraction of the grace period after which a stopping host no longer waits for requests in flight.
 const CLOSE_GRACE_RATIO: f64 = 0.93;
 
-/// Fixed part of the time subtracted from the objective for the network between caller and host
-/// and for late timers; [`RETURN_OBJECTIVE_RATIO`] is the proportional part. A caller in another
-/// failure domain is 2 ms away, and a caller that opens a connection asks the directory first: the
-/// fixed part covers three round trips and late timers.
-const RETURN_MARGIN: Duration = Duration::from_millis(10);
-
 /// Maximum delay before a host opens the first connection to a new upstream. Upstreams register
 /// some seconds before they get requests.
 const MAX_PRECONNECT_DELAY: Duration = Duration::from_millis(800);
 
-/// Proportional part, as a fraction of the objective, of the time subtracted from the objective for
-/// the network between caller and host and for late timers; [`RETURN_MARGIN`] is the fixed part.
-const RETURN_OBJECTIVE_RATIO: f64 = 0.06;
-
 /// Time before the final answer is due at which this host gives up, so that the answer arrives in
 /// time.
 const FINAL_MARGIN: Duration = Duration::from_millis(3);
@@ -118,6 +108,15 @@
     pub departures: mpsc::Sender<Departure>,
 }
 
+/// Arrival of a request.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival {
+    /// When it arrived, before it waited for the thread.
+    pub at: Instant,
+    /// Whether the caller opened a connection for it.
+    pub connection: gather::Connection,
+}
+
 /// The server of the traffic thread.
 pub struct Front {
     shared: Shared,
@@ -250,9 +249,11 @@
         let limits = self.registry.view().table.as_ref().map(|table| table.limits().clone());
         let limits = limits.unwrap_or_default();
         let front = Rc::clone(&self);
+        let state = Cell::new(gather::Connection::New);
         let service = service_fn(move |request| {
             let front = Rc::clone(&front);
-            async move { Ok::<_, Infallible>(front.handle(request).await) }
+            let state = state.replace(gather::Connection::Kept);
+            async move { Ok::<_, Infallible>(front.handle(request, state).await) }
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
@@ -274,10 +275,14 @@
         self.open_connections.set(self.open_connections.get() - 1);
     }
 
-    async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
+    async fn handle(
+        &self,
+        request: Request<Incoming>,
+        connection: gather::Connection,
+    ) -> Response<Body> {
         let now = Instant::now();
         let waited = self.loop_lag.borrow().max_wait(now);
-        let arrival = now.checked_sub(waited).unwrap_or(now);
+        let arrival = Arrival { at: now.checked_sub(waited).unwrap_or(now), connection };
         let call = Call::read(request.headers());
         let forwarded = request.headers().get(FORWARDED_HEADER).and_then(parse_version);
         let id: Box<str> = call.as_ref().map_or("(none)", Call::id_text).into();
@@ -305,8 +310,8 @@
     }
 
     /// Counts an answer, and logs it if it is a failure, incomplete, late or a sample.
-    fn record(&self, arrival: Instant, id: &str, path: &str, outcome: &Outcome) {
-        let took = arrival.elapsed();
+    fn record(&self, arrival: Arrival, id: &str, path: &str, outcome: &Outcome) {
+        let took = arrival.at.elapsed();
         let status = outcome.response.status();
         self.shared.metrics.answers.get_or_create(&Status { status: status.as_u16() }).inc();
         self.shared.metrics.latency.observe(took.as_secs_f64());
@@ -334,7 +339,7 @@
     /// configuration that the answer must at least be based on.
     async fn serve(
         &self,
-        arrival: Instant,
+        arrival: Arrival,
         mut call: Call,
         request: Request<Incoming>,
         forwarded: Option<u64>,
@@ -375,7 +380,7 @@
             );
         }
         let time = call.timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
-        let deadline = arrival + time.saturating_sub(FINAL_MARGIN);
+        let deadline = arrival.at + time.saturating_sub(FINAL_MARGIN);
         let outgoing = Rc::new(Outgoing::new(call, method, target, body, deadline));
         let now = Instant::now();
         let crashes = self.registry.crashes();
@@ -405,7 +410,7 @@
     /// been sent to as many upstreams as its route allows.
     async fn serve_anywhere(
         &self,
-        arrival: Instant,
+        arrival: Arrival,
         route: &Route,
         outgoing: Rc<Outgoing>,
     ) -> Outcome {
@@ -446,7 +451,7 @@
     /// Serves a request with the upstreams that this host reaches.
     pub(crate) async fn serve_here(
         &self,
-        arrival: Instant,
+        arrival: Arrival,
         route: &Route,
         outgoing: Rc<Outgoing>,
     ) -> Outcome {
@@ -507,22 +512,21 @@
 
     async fn gather(
         &self,
-        arrival: Instant,
+        arrival: Arrival,
         route: &Route,
         shards: &table::Gather,
         outgoing: Rc<Outgoing>,
     ) -> Outcome {
         let deadline = outgoing.deadline;
         let (id, fingerprint) = (outgoing.call.id.clone(), outgoing.fingerprint);
-        let margin = RETURN_MARGIN + route.objective.mul_f64(RETURN_OBJECTIVE_RATIO);
-        let soft_deadline = arrival + route.objective.saturating_sub(margin);
+        let soft_deadline = gather::soft_deadline(arrival.at, route.objective, arrival.connection);
         let mut state =
             Gather::new(shards.shards.len(), shards.min_shards(), soft_deadline, deadline);
         let now = Instant::now();
         let available = shards.shards.iter().map(|shard| self.registry.available_at(now, shard));
         let availability = Availability::new(available);
         availability.unavailable_by(soft_deadline).for_each(|shard| state.mark_lost(shard));
-        if state.step(arrival) == Step::Fail {
+        if state.step(arrival.at) == Step::Fail {
             let cause = "too few shards with upstreams that take requests";
             return unavailable(now, &availability, shards.min_shards(), cause);
         }
--- a/crates/node/src/suspect.rs
+++ b/crates/node/src/suspect.rs
@@ -14,7 +14,7 @@
 use crate::attempt::Outgoing;
 use crate::crashes::Crashes;
 use crate::forward::{Prober, forward};
-use crate::front::Front;
+use crate::front::{Arrival, Front};
 use crate::outcome::Outcome;
 
 /// Header of a forwarded request that may crash upstreams, with the reasons as JSON. The host that
@@ -39,7 +39,7 @@
     /// Passes a suspected request to the first available host in its ranking, which may be this one.
     pub(crate) async fn serve_suspect(
         &self,
-        arrival: Instant,
+        arrival: Arrival,
         route: &Route,
         outgoing: Rc<Outgoing>,
     ) -> Outcome {
@@ -69,13 +69,13 @@
     /// may still crash upstreams, and a probe could hit the last replica of a shard.
     pub(crate) async fn serve_probe(
         &self,
-        arrival: Instant,
+        arrival: Arrival,
         route: &Route,
         outgoing: Rc<Outgoing>,
     ) -> Outcome {
         let crashes = self.registry().crashes();
         let request = outgoing.fingerprint;
-        let until = arrival + route.objective;
+        let until = arrival.at + route.objective;
         let Ok(turn) = tokio::time::timeout_at(until.into(), crashes.probes.turn(request)).await
         else {
             let cause = "a request of the same content may crash upstreams";
