--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -49,6 +49,13 @@
     chosen.into_iter().take(MAX_ADVERTISED).cloned().collect()
 }
 
+/// Returns whether a host with the given processor share is not advertised because other hosts of the
+/// view have a much larger one.
+pub fn is_weak(view: &View, cores: f64) -> bool {
+    let max = view.hosts.values().map(|host| host.cores).fold(0.0, f64::max);
+    cores < max * MIN_CORES_RATIO
+}
+
 /// Returns the hosts that match `condition`, or all if none does.
 fn retain_if_any(hosts: Vec<&Arc<Host>>, condition: impl Fn(&Host) -> bool) -> Vec<&Arc<Host>> {
     let matching: Vec<_> = hosts.iter().copied().filter(|host| condition(host)).collect();
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -400,10 +400,11 @@
         Outcome { route: Some(Arc::clone(route)), ..outcome }
     }
 
-    /// Serves a request, through another host while this one is isolated or if it is not advertised.
+    /// Serves a request, through another host while this one is isolated or if it is a weak one that is
+    /// not advertised.
     ///
-    /// Few requests reach hosts that are not advertised. If each of these opened connections to all
-    /// upstreams for them, none would be left for the others.
+    /// Few requests reach such hosts. If each of these opened connections to all upstreams for them, none
+    /// would be left for the others.
     ///
     /// If this host becomes isolated during an idempotent request, the request fails at once, so that
     /// the caller can repeat it at another host. It is not forwarded then, since it may already have
@@ -415,7 +416,7 @@
         outgoing: Rc<Outgoing>,
     ) -> Outcome {
         let context = self.registry.context();
-        let elsewhere = *context.isolated.borrow() || !self.registry.is_advertised();
+        let elsewhere = *context.isolated.borrow() || self.registry.forwards();
         if elsewhere && let Some(outcome) = self.forward(&outgoing).await {
             return outcome;
         }
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -82,8 +82,9 @@
     context: Rc<Context>,
     random: StdRng,
     recent_advertised: Option<(Instant, usize)>,
-    /// Whether callers are told to use this host.
-    is_advertised: bool,
+    /// Whether this host forwards the requests that reach it, because callers are told to use others
+    /// and its processor share is small.
+    forwards: bool,
     /// Fixed number of extra attempts that this host may send to each service per window, whatever
     /// the request rate.
     slack: f64,
@@ -184,7 +185,7 @@
             forwarders: Forwarders::default(),
             random: StdRng::seed_from_u64(seed),
             recent_advertised: None,
-            is_advertised: false,
+            forwards: false,
             slack: 0.0,
         };
         Self { settings, state: RefCell::new(state) }
@@ -206,9 +207,10 @@
         state.forwarders.choose(now, state.random.random())
     }
 
-    /// Returns whether callers are told to use this host.
-    pub fn is_advertised(&self) -> bool {
-        self.state.borrow().is_advertised
+    /// Returns whether this host forwards the requests that reach it, because callers are told to use
+    /// others and its processor share is small.
+    pub fn forwards(&self) -> bool {
+        self.state.borrow().forwards
     }
 
     /// Returns the hosts that may send a suspected request to an upstream, in their order.
@@ -280,7 +282,8 @@
             count: state.recent_advertised(now, names.len()),
             includes_self: names.contains(&self.settings.host),
         };
-        state.is_advertised = advertised.includes_self;
+        state.forwards =
+            !advertised.includes_self && directory::is_weak(&view, self.settings.cores);
         state.context.crashes.update(now, &view);
         state.context.hosts.borrow_mut().update(now, &names, view.hosts.len());
         let mut services: BTreeMap<ServiceName, Vec<Rc<Endpoint>>> = BTreeMap::new();
