Remove the own entry at shutdown instead of revoking the lease

The lease may keep the entries of followers. A follower whose own lease had ended failed to revoke it and stayed in the directory until its registrar missed it for 3.5 s (found by reading).

--- a/crates/feed/src/store.rs
+++ b/crates/feed/src/store.rs
@@ -41,13 +41,6 @@
     /// or was revoked.
     fn renew(&self, lease: LeaseId) -> impl Future<Output = Result<()>>;
 
-    /// Revokes a lease, which removes its entries.
-    ///
-    /// # Errors
-    ///
-    /// Fails like `renew`.
-    fn revoke(&self, lease: LeaseId) -> impl Future<Output = Result<()>>;
-
     /// Writes an entry that is removed when its lease ends.
     ///
     /// # Errors
--- a/crates/node/src/control/register.rs
+++ b/crates/node/src/control/register.rs
@@ -70,21 +70,18 @@
         self.deregister(&store).await;
     }
 
-    /// Removes the own entry. The lease is revoked only if it keeps no entries of followers.
+    /// Removes the own entry. The lease is left to expire, since it may keep entries of followers.
     async fn deregister(&self, store: &platform::Client) {
-        let era = self.mirror.borrow().position().era;
-        let lease = self.registration.borrow().lease(era);
-        let lease = lease.filter(|_| !self.registrar.borrow().is_needed());
-        self.shared.metrics.store_calls.inc();
-        let result = match lease {
-            Some(lease) => store.revoke(lease).await,
-            None => Ok(()),
-        };
-        let is_registered = self.mirror.borrow().contains(&self.own_key);
-        let result = match result {
-            Ok(()) if is_registered => store.remove(&self.own_key, None).await.map(drop),
-            result => result,
-        };
+        let revision = self.mirror.borrow().entry_revision(&self.own_key);
+        let mut result = Ok(false);
+        // The entry may have been written again since the copy was read.
+        for revision in revision.map(Some).into_iter().chain([None]) {
+            self.shared.metrics.store_calls.inc();
+            result = store.remove(&self.own_key, revision).await;
+            if !matches!(result, Ok(false)) {
+                break;
+            }
+        }
         if let Err(error) = result {
             log::info!(error:%; "cannot remove the own entry; leaving it to expire");
         }
