--- a/crates/node/tests/leaving.rs
+++ b/crates/node/tests/leaving.rs
@@ -52,7 +52,16 @@
     }
     let answers = futures::future::join_all(queries).await.into_iter();
     let answers = answers.map(|answer| answer.expect("the task ends").expect("the host answers"));
-    answers.filter(|answer| answer.status() == 200).count()
+    let mut served = 0;
+    for answer in answers {
+        if answer.status() == 200 {
+            served += 1;
+        } else {
+            let (status, cause) = (answer.status(), answer.text().await.expect("a body"));
+            println!("{name}: {status}, {cause}");
+        }
+    }
+    served
 }
 
 /// Guards against requests to an upstream that has stated that it is leaving, while the store, which
