Do not remove the same entry again while the copy of the store lags

A registrar now remembers what it has removed with which revision. The test removed_entry_is_not_removed_again_while_the_copy_lags fails without that.

--- a/crates/feed/src/registrar.rs
+++ b/crates/feed/src/registrar.rs
@@ -56,6 +56,9 @@
 #[derive(Debug, Default)]
 pub struct Registrar {
     members: BTreeMap<Box<str>, Member>,
+    /// Entries that were removed with a revision, or had been changed since, until the copy of the store
+    /// shows it.
+    removed: BTreeMap<Box<str>, Revision>,
     checked: Option<Instant>,
     /// Time before which entries of hosts that have not asked yet are not removed.
     remove_after: Option<Instant>,
@@ -109,11 +112,22 @@
         if !puts.is_empty() {
             return Some(Change::Put(puts));
         }
-        let mut orphans = own.into_iter().filter(|(key, _)| !self.members.contains_key(*key));
+        let mut orphans = own.into_iter().filter(|(key, revision)| {
+            !self.members.contains_key(*key) && self.removed.get(*key) != Some(revision)
+        });
         let (key, revision) = orphans.next().filter(|_| may_remove)?;
         Some(Change::Remove(key.into(), revision))
     }
 
+    /// Records that the store no longer has an entry with the given revision. The copy of the store may
+    /// lag, and the entry must not be removed again and again meanwhile.
+    pub fn removed(&mut self, key: &str, revision: Revision) {
+        while self.removed.len() >= MAX_MEMBERS {
+            self.removed.pop_first();
+        }
+        self.removed.insert(key.into(), revision);
+    }
+
     /// Records that entries were written under a lease with the given revision.
     pub fn written(&mut self, puts: Vec<(Box<str>, Box<str>)>, lease: LeaseId, revision: Revision) {
         for (key, value) in puts {
--- a/crates/feed/tests/registrar.rs
+++ b/crates/feed/tests/registrar.rs
@@ -83,6 +83,24 @@
     }
 }
 
+/// Guards against thousands of calls while the store's history is compacted: the copy shows an entry for
+/// seconds after its removal, and each look at it caused another one.
+#[test]
+fn removed_entry_is_not_removed_again_while_the_copy_lags() {
+    let start = Instant::now();
+    let mut registrar = Registrar::default();
+    registrar.next_change(start, 7, []);
+    let later = start + ms(2_500);
+    let remove = Some(Change::Remove("gone".into(), 31));
+    assert_eq!(registrar.next_change(later, 7, [("gone", 31)]), remove);
+    // A call that has failed is made again.
+    assert_eq!(registrar.next_change(later, 7, [("gone", 31)]), remove);
+    registrar.removed("gone", 31);
+    assert_eq!(registrar.next_change(later, 7, [("gone", 31)]), None);
+    let again = Some(Change::Remove("gone".into(), 40));
+    assert_eq!(registrar.next_change(later, 7, [("gone", 40)]), again);
+}
+
 #[test]
 fn covered_host_needs_no_calls_and_takes_over_in_time() {
     let now = Instant::now();
@@ -236,6 +254,7 @@
                         store.revision += 1;
                         store.entries.remove(&key);
                     }
+                    self.registrar.removed(&key, revision);
                 }
             }
         }
--- a/crates/node/src/control/register.rs
+++ b/crates/node/src/control/register.rs
@@ -223,7 +223,7 @@
             Change::Remove(key, revision) => {
                 let removed = store.remove(&key, Some(revision)).await;
                 log::info!(key, removed:? = removed.as_ref().ok(); "follower no longer asks");
-                removed.map(drop)
+                removed.map(|_| self.registrar.borrow_mut().removed(&key, revision))
             }
         };
         if let Err(error) = &result {
