--- a/crates/feed/src/registration.rs
+++ b/crates/feed/src/registration.rs
@@ -83,11 +83,6 @@
         self.written_at = None;
     }
 
-    /// Records that no other host keeps the entry any more.
-    pub fn uncovered(&mut self) {
-        self.covered_until = None;
-    }
-
     /// Returns the time for which the own lease is known to last, and the lease.
     pub fn remaining(&self, now: Instant, era: Era) -> Option<(LeaseId, Duration)> {
         let until = self.lease_until?.checked_duration_since(now)?;
@@ -143,9 +138,10 @@
         self.written_at = Some(now);
     }
 
-    /// Records that the entry has changed, so that it is written again.
+    /// Records that the entry has changed, so that it is written again and no other host keeps it.
     pub fn changed(&mut self) {
         self.written_at = None;
+        self.covered_until = None;
     }
 
     /// Records that the lease was renewed as asked for at `sent`, and the era that was known then.
--- a/crates/node/src/control/register.rs
+++ b/crates/node/src/control/register.rs
@@ -44,9 +44,7 @@
         loop {
             let current = platform::host_value(&self.own_host());
             if current != value {
-                let mut registration = self.registration.borrow_mut();
-                registration.changed();
-                registration.uncovered();
+                self.registration.borrow_mut().changed();
                 value = current;
             }
             let (visible, era) = {
--- a/crates/node/tests/crash.rs
+++ b/crates/node/tests/crash.rs
@@ -11,6 +11,9 @@
 /// Part of the path of the request that crashes upstreams.
 const CRASHING: &str = "crashing";
 
+/// Number of shards of the queries, each with two replicas.
+const SHARDS: usize = 3;
+
 /// Number of crashes after which hosts must stop sending the request.
 const MAX_CRASHES: usize = 3;
 
@@ -33,6 +36,11 @@
     world
 }
 
+/// Returns the number of crashes of the upstreams of all shards.
+fn shard_crashes(world: &World) -> usize {
+    (0..SHARDS).map(|shard| crashes(world, &format!("shard-{shard}"))).sum()
+}
+
 fn crashes(world: &World, service: &str) -> usize {
     world.of(service).into_iter().map(Shard::crashes).sum()
 }
@@ -110,14 +118,13 @@
         Node::ready("b", &world).await,
         Node::ready_in("perth-3", "c", &world).await,
     ];
-    let shards = ["shard-0", "shard-1", "shard-2"];
     for (number, node) in nodes.iter().cycle().take(9).enumerate() {
         let answer = node.get("/all/crashing", &format!("q{number}")).await;
         assert!([503, 504].contains(&answer.status().as_u16()), "{}", answer.status());
         tokio::time::sleep(REACTION_TIME / 4).await;
     }
-    let crashed: usize = shards.iter().map(|shard| crashes(&world, shard)).sum();
-    assert!(crashed <= shards.len() + 2, "{crashed} of 6 upstreams crashed");
+    let crashed = shard_crashes(&world);
+    assert!(crashed <= SHARDS + 2, "{crashed} of 6 upstreams crashed");
     until("other queries are answered", || async {
         nodes[2].get("/all/well", "well").await.status() == 200
     })
@@ -230,7 +237,7 @@
     let first = Node::ready_in("perth-1", "a", &world).await;
     let second = Node::ready_in("perth-2", "b", &world).await;
     until_known(&[&first, &second]).await;
-    let total = || (0..3).map(|shard| crashes(&world, &format!("shard-{shard}"))).sum::<usize>();
+    let total = || shard_crashes(&world);
     first.get("/all/crashing", "first").await;
     tokio::time::sleep(CLOSE_TIME).await;
     let before = total();
@@ -263,7 +270,7 @@
         nodes.push(Node::ready_in(&domain, &format!("h{number}"), &world).await);
     }
     until_known(&nodes.iter().collect::<Vec<_>>()).await;
-    let total = || (0..3).map(|shard| crashes(&world, &format!("shard-{shard}"))).sum::<usize>();
+    let total = || shard_crashes(&world);
     nodes[0].get("/all/crashing", "first").await;
     let before = total();
     assert!(before <= 3, "{before} upstreams crashed during one query");
@@ -286,7 +293,7 @@
     let first = Node::ready_in("perth-1", "a", &world).await;
     let second = Node::ready_in("perth-2", "b", &world).await;
     until_known(&[&first, &second]).await;
-    let total = || (0..3).map(|shard| crashes(&world, &format!("shard-{shard}"))).sum::<usize>();
+    let total = || shard_crashes(&world);
     first.get("/all/crashing", "first").await;
     second.stop().join().expect("the host stops");
     let second = Node::ready_in("perth-2", "b", &world).await;
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -104,13 +104,8 @@
 
     /// Returns why a request is a suspect, for a host that may not know it yet.
     pub fn evidence(&self, now: Instant, request: Fingerprint) -> Vec<Strike> {
-        let attempts = self.requests.get(&request).into_iter().flatten();
-        let counting = attempts.filter(|(_, record)| record.counts(now));
-        let strikes = counting.map(|(attempt, record)| Strike {
-            request,
-            attempt: *attempt,
-            crashes: record.crashes,
-        });
+        let attempts = self.requests.get(&request).into_iter().flat_map(BTreeMap::keys);
+        let strikes = attempts.filter_map(|attempt| self.strike(now, request, *attempt));
         strikes.chain(self.suspects.of(now, request).map(|(strike, _)| strike)).collect()
     }
 
--- a/crates/quarantine/src/suspects.rs
+++ b/crates/quarantine/src/suspects.rs
@@ -1,6 +1,7 @@
 //! Requests during which connections to upstreams broke a moment ago.
 
 use std::collections::BTreeMap;
+use std::ops::RangeInclusive;
 use std::time::{Duration, Instant};
 
 use crate::{AttemptId, Fingerprint, Strike};
@@ -51,7 +52,10 @@
 
     /// Removes a request, because an upstream has answered it.
     pub fn clear(&mut self, request: Fingerprint) {
-        self.suspicions.retain(|(suspect, _), _| *suspect != request);
+        let keys: Vec<_> = self.suspicions.range(keys_of(request)).map(|(key, _)| *key).collect();
+        for key in keys {
+            self.suspicions.remove(&key);
+        }
     }
 
     /// Returns since when a request has been a suspect, or `None` if it is not.
@@ -76,9 +80,13 @@
         now: Instant,
         request: Fingerprint,
     ) -> impl Iterator<Item = (AttemptId, &Suspicion)> {
-        let range = (request, AttemptId::MIN)..=(request, AttemptId::MAX);
-        let suspicions = self.suspicions.range(range);
+        let suspicions = self.suspicions.range(keys_of(request));
         let current = suspicions.filter(move |(_, suspicion)| now < suspicion.expires);
         current.map(|((_, attempt), suspicion)| (*attempt, suspicion))
     }
 }
+
+/// Returns the keys of all attempts of a request.
+fn keys_of(request: Fingerprint) -> RangeInclusive<(Fingerprint, AttemptId)> {
+    (request, AttemptId::MIN)..=(request, AttemptId::MAX)
+}
