--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -29,6 +29,7 @@
         "stop" => stop(&record, trouble),
         "leave" => leave(&record, trouble),
         "directory" => directory(&record, trouble),
+        "cold" => cold(&record, trouble),
         _ => Err(std::io::Error::other("unknown case")),
     };
     let (code, text) = match result {
@@ -374,3 +375,79 @@
     // Three such answers are allowed.
     Ok(Some(if broken > 3 { broken } else { 0 }))
 }
+
+/// FAILBACK: a backend crashes and starts again, under its id and cold, while the store is down. The
+/// nodes send to it as if it were warm.
+fn cold(record: &Record, trouble: bool) -> Broken {
+    let zones = ["zone-a", "zone-b"];
+    let world = World::start(record, &zones)?;
+    let routes = [World::route("fetch", "/fetch/", "idempotent", "archive", 2, (250, 4_000))];
+    // `cold_per_s` of the service is 5, `cold_over` 1.5 and `cold_slack` 5.
+    world.configure(7, &routes, &[("archive", 110)]);
+    let backends: Vec<Backend> = (0..2)
+        .map(|index| Backend::start(&world, "archive", zones[index], 6, MS(20)))
+        .collect::<Result<_>>()?;
+    let nodes = [
+        world.node(0, "front-zone-a-1", "zone-a", world.store.address)?,
+        world.node(1, "front-zone-b-1", "zone-b", world.store.address)?,
+    ];
+    if !world.wait_ready(&nodes) {
+        return Ok(None);
+    }
+    thread::sleep(MS(3_000));
+    let clients = Clients::default();
+    let start = Instant::now();
+    let end = start + MS(14_000);
+    let mut started = start;
+    thread::scope(|scope| {
+        for index in 0..8 {
+            let (node, clients) = (&nodes[index % 2], &clients);
+            scope.spawn(move || {
+                while Instant::now() < end {
+                    clients.send(record, (&node.name, node.front()), ("GET", "/fetch/1"), MS(4_000));
+                    thread::sleep(MS(60));
+                }
+            });
+        }
+        thread::sleep(MS(3_000));
+        if trouble {
+            world.store.set_down(true);
+            record.note("the store is down");
+        }
+        thread::sleep(MS(500));
+        backends[0].set_up(false);
+        thread::sleep(MS(1_500));
+        let entry = format!("servers/{}", backends[0].id);
+        if !trouble {
+            world.store.put(&entry, &backends[0].entry(3_000));
+        }
+        backends[0].set_cold_for(MS(3_000));
+        started = backends[0].set_up(true);
+        thread::sleep(MS(3_000));
+        if trouble {
+            world.store.set_down(false);
+            record.note("the store is up");
+            world.store.put(&entry, &backends[0].entry(0));
+        }
+    });
+    let mut arrivals: Vec<Instant> = backends[0].runs().iter().map(|run| run.arrived).collect();
+    arrivals.retain(|at| *at >= started && *at < started + MS(3_000));
+    arrivals.sort();
+    let bound = 5.0 * 1.5 + 5.0;
+    let within = |first: &Instant| {
+        arrivals.iter().filter(|at| *at >= first && **at < *first + MS(1_000)).count()
+    };
+    let most = arrivals.iter().map(within).max().unwrap_or(0);
+    let broken = arrivals.iter().filter(|first| within(first) as f64 > bound).count();
+    let text = format!(
+        "{} requests reached the cold backend in 3 s, {most} in one second; {bound} are allowed",
+        arrivals.len()
+    );
+    println!("{text}");
+    record.note(text);
+    let count = clients.all().iter().filter(|sent| sent.answer.is_some()).count();
+    if count < 300 {
+        return Ok(None);
+    }
+    Ok(Some(broken))
+}
--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -20,6 +20,8 @@
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
 
+const MILLISECOND: Duration = Duration::from_millis(1);
+
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
     fn prctl(option: i32, ...) -> i32;
@@ -102,6 +104,11 @@
 /// A running backend.
 #[derive(Clone)]
 pub struct Backend {
+    /// Whether the process runs. While it does not, connections are refused.
+    up: Arc<AtomicBool>,
+    open: Arc<Mutex<Vec<TcpStream>>>,
+    /// Until when the backend is cold.
+    cold_until: Arc<Mutex<Option<Instant>>>,
     pub id: String,
     pub service: String,
     pub zone: String,
@@ -122,6 +129,9 @@
     ) -> Result<Self> {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
         let backend = Self {
+            up: Arc::new(AtomicBool::new(true)),
+            open: Arc::default(),
+            cold_until: Arc::default(),
             id: format!("i-{:010x}", random() >> 24),
             service: service.into(),
             zone: zone.into(),
@@ -136,23 +146,55 @@
             record: world.record.clone(),
         };
         let this = backend.clone();
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let this = this.clone();
-                thread::spawn(move || this.serve(&stream));
-            }
-        });
+        thread::spawn(move || this.accept(listener));
         world.record.note(format!("backend {} of {service} in {zone} starts", backend.id));
-        world.store.put(&format!("servers/{}", backend.id), &backend.entry("ready"));
+        world.store.put(&format!("servers/{}", backend.id), &backend.entry(0));
         Ok(backend)
     }
 
-    pub fn entry(&self, state: &str) -> String {
+    fn accept(&self, listener: TcpListener) {
+        let mut listener = Some(listener);
+        loop {
+            thread::sleep(MILLISECOND);
+            if !self.up.load(Ordering::SeqCst) {
+                listener = None;
+                let open = std::mem::take(&mut *self.open.lock().unwrap());
+                open.iter().for_each(|stream| drop(stream.shutdown(Shutdown::Both)));
+                continue;
+            }
+            let bound = listener.take().or_else(|| TcpListener::bind(self.address).ok());
+            listener = bound;
+            let Some(listener) = &listener else { continue };
+            let _ = listener.set_nonblocking(true);
+            while let Ok((stream, _)) = listener.accept() {
+                let _ = stream.set_nonblocking(false);
+                self.open.lock().unwrap().extend(stream.try_clone());
+                let this = self.clone();
+                thread::spawn(move || this.serve(&stream));
+            }
+        }
+    }
+
+    /// Sets for how long the backend is cold, which its health responses state.
+    pub fn set_cold_for(&self, time: Duration) {
+        *self.cold_until.lock().unwrap() = Some(Instant::now() + time);
+    }
+
+    /// Ends the process without a word, or starts it again under the same id and address.
+    pub fn set_up(&self, up: bool) -> Instant {
+        self.up.store(up, Ordering::SeqCst);
+        self.record.note(format!("backend {} {}", self.id, if up { "starts again" } else { "crashes" }));
+        Instant::now()
+    }
+
+    /// Returns the entry of the backend. One that is cold for some time has started anew.
+    pub fn entry(&self, warmup_left_ms: u64) -> String {
         let Self { service, address, zone, slots, .. } = self;
         format!(
             "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"{zone}\",\
-             \"version\":\"v1\",\"capacity\":{slots},\"state\":\"{state}\",\"warmup_left_ms\":0,\
-             \"sequence\":1,\"born\":1764900000000}}"
+             \"version\":\"v1\",\"capacity\":{slots},\"state\":\"ready\",\
+             \"warmup_left_ms\":{warmup_left_ms},\"sequence\":1,\"born\":{}}}",
+            1_764_900_000_000 + warmup_left_ms
         )
     }
 
@@ -189,7 +231,13 @@
             stream.write_all((head + body).as_bytes())
         };
         if request.target().1 == "/health" {
-            return send(format!("HTTP/1.1 200 OK\r\nInstance-Id: {}\r\n", self.id), "");
+            let cold = *self.cold_until.lock().unwrap();
+            let left = cold.map(|until| until.saturating_duration_since(Instant::now()));
+            let cold = left.filter(|left| !left.is_zero());
+            let cold = cold.map_or_else(String::new, |left| {
+                format!("Warmup-Ms: {}\r\n", left.as_millis())
+            });
+            return send(format!("HTTP/1.1 200 OK\r\nInstance-Id: {}\r\n{cold}", self.id), "");
         }
         let Some(id) = request.header("request-id") else {
             return send("HTTP/1.1 400 No Id\r\nNot-Executed: 1\r\n".into(), "");
