--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -400,7 +400,7 @@
     let end = start + MS(14_000);
     let mut started = start;
     thread::scope(|scope| {
-        for index in 0..8 {
+        for index in 0..20 {
             let (node, clients) = (&nodes[index % 2], &clients);
             scope.spawn(move || {
                 while Instant::now() < end {
@@ -416,7 +416,7 @@
         }
         thread::sleep(MS(500));
         backends[0].set_up(false);
-        thread::sleep(MS(1_500));
+        thread::sleep(MS(700));
         let entry = format!("servers/{}", backends[0].id);
         if !trouble {
             world.store.put(&entry, &backends[0].entry(3_000));
