--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -30,6 +30,7 @@
         "leave" => leave(&record, trouble),
         "directory" => directory(&record, trouble),
         "cold" => cold(&record, trouble),
+        "regress" => regress(&record, trouble),
         _ => Err(std::io::Error::other("unknown case")),
     };
     let (code, text) = match result {
@@ -451,3 +452,84 @@
     }
     Ok(Some(broken))
 }
+
+/// CONFIG: a small machine passes requests on to larger ones. While its own configuration lags behind,
+/// it serves a request by the new version and refuses a later one with 404 by the old version.
+fn regress(record: &Record, trouble: bool) -> Broken {
+    let zones = ["zone-a", "zone-b"];
+    let world = World::start(record, &zones)?;
+    let route = |name: &str, service: &str| {
+        World::route(name, &format!("/{name}/"), "idempotent", service, 2, (250, 4_000))
+    };
+    let services = [("before", 110), ("after", 110)];
+    world.configure(7, &[route("fetch", "before")], &services);
+    let mut backends = Vec::new();
+    for (service, _) in services {
+        for zone in zones {
+            backends.push(Backend::start(&world, service, zone, 6, MS(20))?);
+        }
+    }
+    let proxy = Proxy::start(world.store.address)?;
+    // The machines of a deployment differ in size: 0.12 to 0.5 cores.
+    let store = world.store.address;
+    let nodes = [
+        world.sized_node(0, "front-zone-a-1", "zone-a", proxy.address, 0.12)?,
+        world.sized_node(1, "front-zone-a-2", "zone-a", store, 0.12)?,
+        world.sized_node(2, "front-zone-b-1", "zone-b", store, 0.5)?,
+        world.sized_node(3, "front-zone-b-2", "zone-b", store, 0.5)?,
+        world.sized_node(4, "front-zone-b-3", "zone-b", store, 0.5)?,
+    ];
+    if !world.wait_ready(&nodes) {
+        return Ok(None);
+    }
+    thread::sleep(MS(6_000 + world::random() % 1_500));
+    let clients = Clients::default();
+    let start = Instant::now();
+    let end = start + MS(9_000);
+    thread::scope(|scope| {
+        for (path, pause) in [("/fetch/1", 40), ("/added/1", 40)] {
+            let (node, clients) = (&nodes[1], &clients);
+            scope.spawn(move || {
+                while Instant::now() < end {
+                    clients.send(record, (&node.name, node.front()), ("GET", path), MS(4_000));
+                    thread::sleep(MS(pause));
+                }
+            });
+        }
+        thread::sleep(MS(2_000));
+        if trouble {
+            record.note("front-zone-a-1 is cut off from the store");
+            proxy.set_silent(true);
+        }
+        thread::sleep(MS(100));
+        world.configure(8, &[route("fetch", "after"), route("added", "after")], &services);
+        thread::sleep(MS(3_900));
+        proxy.set_silent(false);
+        record.note("front-zone-a-1 reaches the store");
+    });
+    let sent = clients.all();
+    let runs_of = |service: &str| {
+        let backends = backends.iter().filter(|backend| backend.service == service);
+        backends.flat_map(Backend::runs).collect::<Vec<_>>()
+    };
+    let effect = runs_of("after").iter().map(|run| run.arrived).min();
+    let Some(effect) = effect else { return Ok(None) };
+    record.note_at(effect, "a backend sees the effect of version 8 through front-zone-a-2");
+    let late = |sent: &&world::Sent| sent.sent.is_some_and(|at| at > effect + MS(250));
+    let before: Vec<String> = runs_of("before").into_iter().map(|run| run.id).collect();
+    let mut broken = 0;
+    for sent in sent.iter().filter(late) {
+        let status = sent.answer.as_ref().map_or(0, |answer| answer.status());
+        if status == 404 || before.contains(&sent.id) {
+            broken += 1;
+            let after = sent.sent.map_or(0.0, |at| (at - effect).as_secs_f64());
+            let how = if status == 404 { "refused with 404" } else { "run by the old service" };
+            record.note(format!("BROKEN: {} was {how}, sent {after:.3} s after that", sent.id));
+        }
+    }
+    println!("{} requests to front-zone-a-2, {broken} handled by an older version", sent.len());
+    if sent.len() < 200 {
+        return Ok(None);
+    }
+    Ok(Some(broken))
+}
--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -475,8 +475,20 @@
         )
     }
 
-    /// Starts a node with the command of the deploy file.
+    /// Starts a node on a machine of the usual size with the command of the deploy file.
     pub fn node(&self, index: u8, name: &str, zone: &str, store: SocketAddr) -> Result<Node> {
+        self.sized_node(index, name, zone, store, 0.25)
+    }
+
+    /// Starts a node on a machine with the given share of a core.
+    pub fn sized_node(
+        &self,
+        index: u8,
+        name: &str,
+        zone: &str,
+        store: SocketAddr,
+        cpu_share: f64,
+    ) -> Result<Node> {
         let [a, b] = self.network;
         let address = |index: u8| Ipv4Addr::new(127, a, b, 10 + index);
         let ip = address(index);
@@ -493,7 +505,7 @@
              heartbeat_ms = 1200\n\
              contracts = [\"base\",\"drain\",\"config\",\"cost\",\"retry\",\"recover\",\"scatter\",\"places\",\"platform\"]\n\
              [zones]\n{zones}[listen]\nfront = \"{ip}:8104\"\nreadiness = \"{ip}:8108\"\n\
-             control = \"{ip}:8106\"\ndirectory = \"{ip}:8100\"\n[limits]\ncpu_share = 0.25\n\
+             control = \"{ip}:8106\"\ndirectory = \"{ip}:8100\"\n[limits]\ncpu_share = {cpu_share}\n\
              cores = 1\nmemory_mb = 260\nmax_fds = 4100\nlink_mbps = 1000.0\ndisk_mb = 0\n\
              [fault_tolerance]\nmachines = 2\nzones = 1\nregions = 0\n[bounds]\nseed_lag_s = 3\n\
              reuse_after_s = 2\ncontact_ms = 4000\nack_ms = 5000\ncatch_up_s = 4\ndrain_ms = 3000\n\
