--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -74,7 +74,7 @@
         backends[..2].iter().for_each(|backend| backend.set_spoil_ratio(0.02));
     }
     let clients = Clients::default();
-    let end = Instant::now() + MS(45_000);
+    let end = Instant::now() + MS(70_000);
     thread::scope(|scope| {
         for index in 0..12 {
             let (node, clients) = (&nodes[index % 2], &clients);
