Refuse what a stopping host can no longer finish

Cause: connections were accepted for 0.55 of the grace period and cut at 0.93 of it, whatever the requests needed. The records show each lost request running at its upstream at the end; no upstream broke off, and no request crossed the close, so neither explains the loss.

limit::Shutdown now decides by the deadline: requests of any length for 0.45 of the grace period, 2.7 s at most, then only those that end before the host does. The rest is refused unrun with 503 and a time to retry. Every admitted request is thus excused by the operators' 3 s or ends in time.

--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -6,7 +6,8 @@
 //! connections to the upstream, with [`Connections`]. A [`Window`] limits the searches in flight
 //! for one service of a broker, or the queries in flight for one route of `pistachio-node`, and
 //! adapts to what the upstreams can serve. [`LoopLag`] tells `pistachio-node` how long requests may
-//! have waited before a busy thread read them.
+//! have waited before a busy thread read them, and [`Shutdown`] which requests it can still serve
+//! while it stops.
 //! Reasons are in `docs/design/limits.md`.
 //!
 //! ```
@@ -24,9 +25,11 @@
 mod connections;
 mod limiter;
 mod loop_lag;
+mod shutdown;
 mod window;
 
 pub use crate::connections::Connections;
 pub use crate::limiter::{Completion, Decision, Limiter, Limits, Phase, Reason, Step, Ticket};
 pub use crate::loop_lag::{LoopLag, TICK_INTERVAL};
+pub use crate::shutdown::Shutdown;
 pub use crate::window::Window;
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -18,7 +18,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use limit::{LoopLag, TICK_INTERVAL};
+use limit::{LoopLag, Shutdown, TICK_INTERVAL};
 use platform::Call;
 use table::{Route, ServiceName, Target, View};
 use tokio::sync::{mpsc, watch};
@@ -39,13 +39,6 @@
 use crate::start::Shared;
 use crate::suspect::{refusal, take_evidence};
 
-/// Fraction of the grace period for which a stopping host still accepts connections, because
-/// callers keep using the address for a while.
-const ACCEPT_GRACE_RATIO: f64 = 0.55;
-
-/// Fraction of the grace period after which a stopping host no longer waits for requests in flight.
-const CLOSE_GRACE_RATIO: f64 = 0.93;
-
 /// Maximum delay before a host opens the first connection to a new upstream. Upstreams register
 /// some seconds before they get requests.
 const MAX_PRECONNECT_DELAY: Duration = Duration::from_millis(800);
@@ -65,6 +58,9 @@
 /// host.
 const LAG_RETRY_DELAY: Duration = Duration::from_millis(10);
 
+/// Time after which callers retry when this host is shutting down; they use another host.
+const SHUTDOWN_RETRY_DELAY: Duration = Duration::from_millis(10);
+
 /// Time after which callers retry when upstreams are overloaded, as a multiple of the route's
 /// objective. By then, about all queries in flight have ended.
 const OVERLOAD_RETRY_FACTOR: f64 = 1.0;
@@ -121,7 +117,8 @@
 pub struct Front {
     shared: Shared,
     registry: Rc<Registry>,
-    stopping: Cell<bool>,
+    /// Set once the shutdown has begun.
+    shutdown: Cell<Option<Shutdown>>,
     open_connections: Cell<usize>,
     answered: Cell<u32>,
     loop_lag: RefCell<LoopLag>,
@@ -143,7 +140,7 @@
         let front = Rc::new(Self {
             shared,
             registry: Rc::clone(&registry),
-            stopping: Cell::new(false),
+            shutdown: Cell::new(None),
             open_connections: Cell::new(0),
             answered: Cell::new(0),
             loop_lag: RefCell::new(LoopLag::new(Instant::now())),
@@ -212,27 +209,29 @@
         let grace = self.shared.settings.bounds.grace;
         let stopped = async {
             stop.wait().await;
-            self.stopping.set(true);
+            let shutdown = Shutdown::new(Instant::now(), grace);
+            self.shutdown.set(Some(shutdown));
             log::info!(
                 open = self.open_connections.get();
                 "shutting down: answers close their connections"
             );
-            tokio::time::sleep(grace.mul_f64(ACCEPT_GRACE_RATIO)).await;
+            tokio::time::sleep_until(shutdown.accepts_until().into()).await;
+            shutdown
         };
         tokio::pin!(stopped);
-        loop {
+        let shutdown = loop {
             tokio::select! {
                 stream = accept(&listener) => {
                     let front = Rc::clone(&self);
                     let closing = closing.clone();
                     tokio::task::spawn_local(front.connection(TokioIo::new(stream), closing));
                 }
-                () = &mut stopped => break,
+                shutdown = &mut stopped => break shutdown,
             }
-        }
+        };
         drop(listener);
         close.send_replace(true);
-        let deadline = Instant::now() + grace.mul_f64(CLOSE_GRACE_RATIO - ACCEPT_GRACE_RATIO);
+        let deadline = shutdown.closes_at();
         while self.open_connections.get() + self.relay.in_flight() > 0 && Instant::now() < deadline
         {
             tokio::time::sleep(Duration::from_millis(20)).await;
@@ -303,7 +302,7 @@
             let version = self.registry.view().table.as_ref().map_or(0, |table| table.version());
             response.headers_mut().insert(VERSION_HEADER, HeaderValue::from(version));
         }
-        if self.stopping.get() {
+        if self.shutdown.get().is_some() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         response
@@ -381,6 +380,13 @@
         }
         let time = call.timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
         let deadline = arrival.at + time.saturating_sub(FINAL_MARGIN);
+        if self.shutdown.get().is_some_and(|shutdown| !shutdown.admits(Instant::now(), deadline)) {
+            return Outcome::error(
+                StatusCode::SERVICE_UNAVAILABLE,
+                Some(SHUTDOWN_RETRY_DELAY),
+                "this host is shutting down",
+            );
+        }
         let outgoing = Rc::new(Outgoing::new(call, method, target, body, deadline));
         let now = Instant::now();
         let crashes = self.registry.crashes();
