Limit the grace period of removed entries without an observed outage

Cause: a copy that had become stale counted as an outage of the store, so the first answer after it kept removed entries for 2.2 s more. A copy also becomes stale when only its source has lost the store. The logs of followers show the removal 1.8 s after it was made, so a slow update is ruled out.

Freshness::max_grace limits both to 0.9 of the maximum propagation time after the previous contact, from which on the entry may have been removed, unless a call of this host has failed meanwhile. A real outage leaves such a call at every host that watches the store or has asked it.

--- a/crates/feed/src/freshness.rs
+++ b/crates/feed/src/freshness.rs
@@ -16,12 +16,22 @@
     fresh_for: Duration,
     last_contact: Option<Instant>,
     last_failure: Option<Instant>,
+    /// The contact before the last one.
+    previous_contact: Option<Instant>,
+    /// Whether a call of this host had failed before the last contact, which shows an outage.
+    outage_observed: bool,
 }
 
 impl Freshness {
     /// Creates the state of a host without any contact yet; data stays fresh for `fresh_for`.
     pub fn new(fresh_for: Duration) -> Self {
-        Self { fresh_for, last_contact: None, last_failure: None }
+        Self {
+            fresh_for,
+            last_contact: None,
+            last_failure: None,
+            previous_contact: None,
+            outage_observed: false,
+        }
     }
 
     /// Records that the store did not answer this host or refused its call.
@@ -30,9 +40,9 @@
     }
 
     /// Records data that the store sent at `at`, to this host if `direct` and to another host
-    /// otherwise. Returns whether the store was unavailable before and is available again. The
-    /// leases of entries that this data removes may then have expired because their owners could
-    /// not renew them.
+    /// otherwise. Returns whether the store may have been unavailable before and is available again.
+    /// The leases of entries that this data removes may then have expired because their owners could
+    /// not renew them. [`max_grace`](Self::max_grace) tells for how long such entries may stay.
     ///
     /// Data of another host that is stale itself does not show that the store is available.
     ///
@@ -40,14 +50,28 @@
     /// data after an outage.
     pub fn record_contact(&mut self, now: Instant, at: Instant, direct: bool) -> bool {
         let stale = self.last_contact.is_some() && self.remaining(now).is_zero();
-        // If the store has answered another host since the failure, it was not unavailable.
-        if !direct && self.last_failure.is_some_and(|failed_at| failed_at < at) {
-            self.last_failure = None;
-        }
+        // A failure after `at` may be the beginning of an outage that has not ended yet.
+        let had_failed = self.last_failure.take_if(|failed_at| direct || *failed_at < at).is_some();
+        self.previous_contact = self.last_contact;
         self.last_contact = self.last_contact.max(Some(at));
         let refreshed = stale && !self.remaining(now).is_zero();
-        let had_failed = direct && self.last_failure.take().is_some();
-        refreshed || had_failed
+        // If the store has answered another host soon after the failure, it was not unavailable.
+        self.outage_observed = had_failed && (direct || refreshed);
+        refreshed || self.outage_observed
+    }
+
+    /// Returns the longest time for which entries that the last data removes may stay in the view.
+    /// `None` means that there is no limit, because a call of this host has shown an outage.
+    ///
+    /// A copy also becomes stale because the host that it comes from has lost the store, which was
+    /// available all the time. Owners may then have removed entries at any time since the previous
+    /// contact, and such removals must take effect within `max_propagation`.
+    pub fn max_grace(&self, now: Instant, max_propagation: Duration) -> Option<Duration> {
+        if self.outage_observed {
+            return None;
+        }
+        let until = self.previous_contact.map(|contact| contact + max_propagation);
+        Some(until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now)))
     }
 
     /// Returns how long the data stays fresh, or zero if it is stale or there is none yet.
--- a/crates/feed/src/mirror.rs
+++ b/crates/feed/src/mirror.rs
@@ -128,6 +128,12 @@
         self.extend_grace_period(now, EXPIRY_GRACE);
     }
 
+    /// Records that the store may have been unavailable. This starts the same grace period, but one
+    /// of at most `max_grace`; see [`Freshness::max_grace`](crate::Freshness::max_grace).
+    pub fn store_may_have_recovered(&mut self, now: Instant, max_grace: Duration) {
+        self.extend_grace_period(now, EXPIRY_GRACE.min(max_grace));
+    }
+
     /// Extends the grace period to at least `grace` from now. A `grace` of zero has no effect.
     ///
     /// Entries of upstreams and hosts that are removed during the grace period stay in the view
--- a/crates/feed/tests/feed.rs
+++ b/crates/feed/tests/feed.rs
@@ -215,6 +215,33 @@
     assert!(!freshness.record_contact(now + ms(40), now + ms(40), true));
 }
 
+/// Guards against requests to upstreams that have left, by hosts whose source lost the store while the
+/// store itself was available (review/3). Such a host has no failed call of its own.
+#[test]
+fn stale_copy_alone_does_not_extend_a_removal_beyond_the_propagation_time() {
+    let now = Instant::now();
+    let mut freshness = Freshness::new(ms(1_860));
+    freshness.record_contact(now, now, false);
+    let asked = now + ms(1_900);
+    freshness.record_contact(asked, asked, true);
+    assert_eq!(freshness.max_grace(asked, ms(2_700)), Some(ms(800)));
+    let next = asked + ms(100);
+    freshness.record_contact(next, next, true);
+    assert_eq!(freshness.max_grace(next, ms(2_700)), Some(ms(2_600)));
+}
+
+#[test]
+fn removal_after_a_failed_call_of_this_host_is_not_limited() {
+    let now = Instant::now();
+    let mut freshness = Freshness::new(ms(1_860));
+    freshness.record_contact(now, now, true);
+    freshness.record_failure(now + ms(1_900));
+    // Another host has found the store available again.
+    let back = now + ms(5_000);
+    assert!(freshness.record_contact(back, back, false));
+    assert_eq!(freshness.max_grace(back, ms(2_700)), None);
+}
+
 /// Regression test: a second outage extended the grace period of entries that expired in the first
 /// one, beyond the time within which draining upstreams must stop getting requests. Found by
 /// `hunt-fb38-27` on orzechpol-szukaj.
@@ -255,6 +282,42 @@
 proptest! {
     #![proptest_config(ProptestConfig { cases: 128, ..ProptestConfig::default() })]
 
+    /// A host without a failed call drops each removed entry in time, whatever it learns from other
+    /// hosts, of whatever age, and whatever grace period they pass on.
+    #[test]
+    fn removal_takes_effect_in_time_without_a_failed_call(
+        steps in proptest::collection::vec((0_u64..2_500, 0_u64..2_500, any::<bool>(), 0_u64..2_500), 1..30),
+        removed_after in 0_usize..30,
+    ) {
+        let max_propagation = ms(2_700);
+        let mut now = Instant::now();
+        let mut freshness = Freshness::new(ms(1_860));
+        let mut mirror = Mirror::new(decode);
+        mirror.apply(now, put("h1", "x", 1));
+        freshness.record_contact(now, now, true);
+        let mut known = now;
+        for (step, (pause, age, direct, source_grace)) in steps.into_iter().enumerate() {
+            now += ms(pause);
+            let at = if direct { now } else { now.checked_sub(ms(age)).unwrap_or(now) };
+            let recovered = freshness.record_contact(now, at, direct);
+            let max_grace = freshness.max_grace(now, max_propagation).expect("no call has failed");
+            if recovered {
+                mirror.store_may_have_recovered(now, max_grace);
+            }
+            mirror.extend_grace_period(now, ms(source_grace).min(max_grace));
+            if step == removed_after {
+                mirror.apply(now, remove("h1", 2));
+            }
+            // The removal happened after the last contact that did not report it.
+            mirror.expire(now.max(known + max_propagation));
+            if step >= removed_after {
+                prop_assert!(mirror.view().hosts.is_empty());
+                break;
+            }
+            known = known.max(at);
+        }
+    }
+
     /// A follower that reads at arbitrary times ends with the same entries as its source.
     #[test]
     fn follower_converges_to_its_source(
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -39,6 +39,10 @@
 /// maximum propagation time.
 const STALE_AGE_RATIO: f64 = 0.62;
 
+/// Time for which a removed entry may stay in the view without evidence of an outage of the store, as
+/// a fraction of the maximum propagation time. The rest is for requests that are being sent.
+const MAX_GRACE_RATIO: f64 = 0.9;
+
 /// Delay after changes before the store is watched again, so that a burst of changes costs few
 /// calls.
 const WATCH_DELAY: Duration = Duration::from_millis(150);
@@ -289,6 +293,7 @@
                     false,
                 );
                 let grace = Duration::from_millis(grace_ms);
+                let grace = self.max_grace(now).map_or(grace, |max| grace.min(max));
                 self.mirror.borrow_mut().extend_grace_period(now, grace);
                 let changed = self.apply(now, batch);
                 self.record_cover(now, sent, request.wait, cover);
@@ -324,12 +329,26 @@
     /// entries whose leases expired meanwhile stay in the view for a grace period.
     fn record_contact(&self, now: Instant, at: Instant, direct: bool) {
         let age_ms = self.age_ms(now);
-        if self.freshness.borrow_mut().record_contact(now, at, direct) {
-            log::info!(age_ms; "store is available again");
-            self.mirror.borrow_mut().store_recovered(now);
+        if !self.freshness.borrow_mut().record_contact(now, at, direct) {
+            return;
+        }
+        let mut mirror = self.mirror.borrow_mut();
+        if let Some(max_grace) = self.max_grace(now) {
+            let max_grace_ms = max_grace.as_millis() as u64;
+            log::info!(age_ms, direct, max_grace_ms; "copy of the store was stale");
+            mirror.store_may_have_recovered(now, max_grace);
+        } else {
+            log::info!(age_ms, direct; "store is available again");
+            mirror.store_recovered(now);
         }
     }
 
+    /// Returns for how long entries that the last update removes may stay in the view, unless that
+    /// is not limited.
+    fn max_grace(&self, now: Instant) -> Option<Duration> {
+        self.freshness.borrow().max_grace(now, self.propagation_fraction(MAX_GRACE_RATIO))
+    }
+
     /// Applies a batch to the mirror, publishes the view if any entry changed, and wakes the
     /// followers. Returns whether any entry changed.
     fn apply(&self, now: Instant, batch: Batch) -> bool {
