Check a lost upstream for a restart before it gets requests

Cause: only the entry in the store made an upstream cold. The first answer after the loss ended the ejection, and the upstream counted as warm. The same holds for a moment without an outage, until the entry of the new process has travelled.

A host now sends nothing to an upstream that it has lost, with no other connection established, until a health check has shown that its id runs and for how long it is cold. An upstream that does not say so counts as cold for the warm-up time of its service. While all upstreams of a service are lost and cannot be reached, requests are refused at once as before.

--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -190,6 +190,9 @@
         if let Some(token) = self.token.take() {
             self.metrics.record_attempt(name);
             self.endpoint.replica.borrow_mut().end(now, token, outcome);
+            if outcome == Outcome::Lost {
+                self.endpoint.record_loss();
+            }
         }
     }
 }
--- a/crates/node/src/crashes.rs
+++ b/crates/node/src/crashes.rs
@@ -168,10 +168,12 @@
         endpoint: &Endpoint,
     ) {
         tokio::time::sleep(CLOSE_DELAY).await;
+        if endpoint.connections.is_alive_since(broken_at) {
+            return;
+        }
+        endpoint.record_loss();
         // A crashed upstream refuses connections until it is restarted.
-        if endpoint.connections.is_alive_since(broken_at)
-            || check_connection(endpoint, &self.metrics).await
-        {
+        if check_connection(endpoint, &self.metrics).await {
             return;
         }
         let now = Instant::now();
--- a/crates/node/src/endpoint.rs
+++ b/crates/node/src/endpoint.rs
@@ -94,6 +94,20 @@
         }
     }
 
+    /// Records that a request was lost or a connection broke. The upstream may then have restarted,
+    /// unless a connection to it is still established.
+    pub fn record_loss(&self) {
+        if !self.connections.has_established() {
+            self.replica.borrow_mut().suspect_restart();
+        }
+    }
+
+    /// Returns whether the upstream may have restarted, so that it gets no requests until a health
+    /// check has shown whether it is cold.
+    pub fn may_have_restarted(&self) -> bool {
+        self.replica.borrow().may_have_restarted()
+    }
+
     /// Returns whether the upstream is warming up, so that only one host may send to it.
     pub fn is_cold(&self, now: Instant) -> bool {
         self.replica.borrow().is_cold(now)
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -186,7 +186,8 @@
     Ok(Reply { status: parts.status, headers: parts.headers, body, answer })
 }
 
-async fn connect(endpoint: &Endpoint, metrics: &Metrics) -> Option<PooledConnection> {
+/// Opens a connection to an upstream, also beyond the maximum. Returns `None` if that fails.
+pub async fn connect(endpoint: &Endpoint, metrics: &Metrics) -> Option<PooledConnection> {
     metrics.connections.inc();
     let connection = endpoint.connections.connect(endpoint.upstream.address).await;
     if let Err(error) = &connection {
--- a/crates/node/src/fanout.rs
+++ b/crates/node/src/fanout.rs
@@ -331,6 +331,7 @@
             return self.schedule(now + RETRY_DELAY, index);
         }
         let endpoints = self.registry.endpoints(&part.service);
+        self.registry.start_restart_checks(now, &endpoints, &self.metrics);
         let others = endpoints.iter().filter(|endpoint| {
             part.attempts.may_send(&endpoint.upstream.id)
                 && !part.running.iter().any(|running| Rc::ptr_eq(running, endpoint))
@@ -368,7 +369,9 @@
                 return false;
             }
         }
-        let Some(endpoint) = self.select(now, index, None) else { return true };
+        let Some(endpoint) = self.select(now, index, None) else {
+            return !self.registry.is_gone(&self.parts[index].service);
+        };
         let part = &mut self.parts[index];
         let purpose = if self.spare > 0 { Purpose::OptionalRetry } else { Purpose::RequiredRetry };
         if part.attempts.is_extra() && !self.registry.try_take_extra(now, &part.service, purpose) {
@@ -395,6 +398,7 @@
             self.registry.count_request(now, &part.service);
         }
         let endpoints = self.registry.endpoints(&part.service);
+        self.registry.start_restart_checks(now, &endpoints, &self.metrics);
         let allowed = endpoints.iter().filter(|endpoint| {
             part.attempts.may_send(&endpoint.upstream.id)
                 && !part.refused_by.iter().any(|refused| Rc::ptr_eq(refused, endpoint))
@@ -571,6 +575,8 @@
         "no upstream registered"
     } else if endpoints.iter().all(|endpoint| endpoint.replaced.get()) {
         "address now belongs to another upstream"
+    } else if endpoints.iter().all(|endpoint| endpoint.may_have_restarted()) {
+        "all upstreams were lost and may have restarted"
     } else if endpoints.iter().all(|endpoint| endpoint.is_cold(now)) {
         "all upstreams are warming up"
     } else if endpoints.iter().all(|endpoint| !endpoint.replica.borrow().is_usable(now)) {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -33,6 +33,7 @@
 mod relay_call;
 mod relays;
 mod reporter;
+mod restart;
 mod server;
 mod start;
 mod suspect;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -56,6 +56,8 @@
     pub attempts: Family<Outcome, Counter>,
     /// Attempts at upstreams that state a rate limit, by origin.
     pub limited_attempts: Family<Origin, Counter>,
+    /// Health checks of upstreams that may have restarted.
+    pub restart_checks: Counter,
     /// Hedges: attempts sent because the first attempt for a part was late.
     pub hedges: Counter,
     /// Extra attempts that the attempt budget denied.
@@ -96,6 +98,7 @@
             latency: Histogram::new(LATENCY_BUCKETS_SECONDS),
             attempts: Family::default(),
             limited_attempts: Family::default(),
+            restart_checks: Counter::default(),
             hedges: Counter::default(),
             extra_attempts_denied: Counter::default(),
             parts_missing: Counter::default(),
@@ -140,6 +143,11 @@
             "Attempts sent to upstreams that state a rate limit, by origin",
             self.limited_attempts.clone(),
         );
+        registry.register(
+            "restart_checks",
+            "Health checks of upstreams that may have restarted",
+            self.restart_checks.clone(),
+        );
         registry.register("hedges", "Hedges sent for late parts", self.hedges.clone());
         registry.register(
             "extras_denied",
--- a/crates/node/src/pool.rs
+++ b/crates/node/src/pool.rs
@@ -30,6 +30,8 @@
 pub struct Pool {
     idle: RefCell<Vec<Idle>>,
     open: Cell<usize>,
+    /// Number of established connections that are in use.
+    in_use: Cell<usize>,
     max: Cell<usize>,
     last_returned: Cell<Option<Instant>>,
 }
@@ -76,12 +78,18 @@
     pub async fn connect(self: &Rc<Self>, address: SocketAddr) -> Result<PooledConnection> {
         self.open.set(self.open.get() + 1);
         let mut pooled = self.pooled(None);
-        pooled.connection = Some(timeout(CONNECT_TIMEOUT, Connection::open(address)).await??);
+        let connection = timeout(CONNECT_TIMEOUT, Connection::open(address)).await??;
+        pooled.establish(connection);
         Ok(pooled)
     }
 
     fn pooled(self: &Rc<Self>, connection: Option<Connection>) -> PooledConnection {
-        PooledConnection { pool: Rc::clone(self), connection }
+        let pool = Rc::clone(self);
+        let mut pooled = PooledConnection { pool, connection: None, is_established: false };
+        if let Some(connection) = connection {
+            pooled.establish(connection);
+        }
+        pooled
     }
 
     /// Closes all idle connections, and the others as soon as they are returned, until the next call
@@ -104,6 +112,13 @@
         returned || self.idle.borrow_mut().iter_mut().any(|idle| idle.connection.is_usable())
     }
 
+    /// Returns whether any connection to the peer is established, in use or idle. A process that has
+    /// restarted has none from before.
+    pub fn has_established(&self) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        self.in_use.get() > 0 || idle.iter_mut().any(|idle| idle.connection.is_usable())
+    }
+
     fn record_closed(&self) {
         self.open.set(self.open.get() - 1);
     }
@@ -119,9 +134,17 @@
 pub struct PooledConnection {
     pool: Rc<Pool>,
     connection: Option<Connection>,
+    /// Whether there has been a connection, which counts as one in use.
+    is_established: bool,
 }
 
 impl PooledConnection {
+    fn establish(&mut self, connection: Connection) {
+        self.connection = Some(connection);
+        self.is_established = true;
+        self.pool.in_use.set(self.pool.in_use.get() + 1);
+    }
+
     /// Returns the connection.
     ///
     /// # Panics
@@ -150,6 +173,9 @@
 
 impl Drop for PooledConnection {
     fn drop(&mut self) {
+        if self.is_established {
+            self.pool.in_use.set(self.pool.in_use.get() - 1);
+        }
         self.pool.record_closed();
     }
 }
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -10,7 +10,7 @@
 use feed::Departure;
 use hedge::{Purpose, WindowBudget};
 use limit::Window;
-use pick::{Candidate, ColdStart, Hosts};
+use pick::{Candidate, Check, ColdStart, Hosts};
 use platform::Settings;
 use quarantine::Fingerprint;
 use rand::rngs::StdRng;
@@ -25,8 +25,10 @@
 use crate::endpoint::{Context, Endpoint};
 use crate::forward::{Forwarder, Forwarders, Prober};
 use crate::latency::Latency;
+use crate::metrics::Metrics;
 use crate::peer::Peer;
 use crate::relays::Relays;
+use crate::restart::{self, Finding};
 
 /// Fraction of the limit on extra attempts that hosts use. The rest covers extra attempts that
 /// restarted hosts no longer remember, and those that cross the boundaries of a time window.
@@ -462,6 +464,62 @@
         Some(Rc::clone(endpoints[index]))
     }
 
+    /// Starts the checks that are due of those upstreams of a service that may have restarted.
+    pub fn start_restart_checks(
+        self: &Rc<Self>,
+        now: Instant,
+        endpoints: &[Rc<Endpoint>],
+        metrics: &Arc<Metrics>,
+    ) {
+        let is_out =
+            |endpoint: &Rc<Endpoint>| endpoint.replaced.get() || endpoint.may_have_restarted();
+        let all_out = endpoints.iter().all(is_out);
+        for endpoint in endpoints.iter().filter(|endpoint| !endpoint.replaced.get()) {
+            if endpoint.replica.borrow_mut().start_check(now, all_out) {
+                let check = Rc::clone(self).check_restart(Rc::clone(endpoint), Arc::clone(metrics));
+                tokio::task::spawn_local(check);
+            }
+        }
+    }
+
+    /// Returns whether all upstreams of a service were lost and could not be reached since.
+    pub fn is_gone(&self, service: &str) -> bool {
+        let endpoints = self.endpoints(service);
+        let is_gone = |endpoint: &Rc<Endpoint>| {
+            endpoint.replaced.get() || endpoint.replica.borrow().is_gone()
+        };
+        !endpoints.is_empty() && endpoints.iter().all(is_gone)
+    }
+
+    async fn check_restart(self: Rc<Self>, endpoint: Rc<Endpoint>, metrics: Arc<Metrics>) {
+        let service = self
+            .view()
+            .table
+            .as_ref()
+            .and_then(|table| table.service(&endpoint.upstream.service).cloned());
+        let path = service.as_ref().map_or("", |service| &service.health_path);
+        let finding = restart::check(&endpoint, path, &metrics).await;
+        let now = Instant::now();
+        let warmup_left = match finding {
+            Finding::Running(left) => left,
+            // The upstream may have started just now.
+            Finding::Unknown => service.map_or(Duration::ZERO, |service| service.warmup),
+            Finding::Replaced => {
+                endpoint.replaced.set(true);
+                Duration::ZERO
+            }
+            Finding::Busy => return endpoint.replica.borrow_mut().end_check(now, Check::Busy),
+            Finding::Unreachable => {
+                return endpoint.replica.borrow_mut().end_check(now, Check::Unreachable);
+            }
+        };
+        let (upstream, warmup_ms) = (&*endpoint.upstream.id, warmup_left.as_millis() as u64);
+        log::info!(upstream, finding:? = finding, warmup_ms; "checked whether an upstream has restarted");
+        let spacing = self.cold_spacing(&self.view(), &endpoint.upstream);
+        let cold = (!warmup_left.is_zero()).then(|| ColdStart::new(now + warmup_left, spacing));
+        endpoint.replica.borrow_mut().end_check(now, Check::Running(cold));
+    }
+
     fn with_budget<T>(
         &self,
         now: Instant,
--- /dev/null
+++ b/crates/node/tests/restart.rs
@@ -0,0 +1,93 @@
+//! Upstreams that restart cold, under their ids.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use standin::StoreFault;
+use support::{Node, World, until};
+
+/// Time for which an upstream is cold after it has restarted.
+const COLD_TIME: Duration = Duration::from_secs(3);
+
+/// Requests that a cold upstream may get within one second: 1.5 times the five of the configuration
+/// and five more.
+const MAX_PER_SECOND: usize = 12;
+
+/// Sends requests to the hosts in turn for `time`, and returns the most that reached the upstream `id`
+/// within one second.
+async fn most_per_second(world: &World, nodes: &[Node], id: &str, time: Duration) -> usize {
+    let started = Instant::now();
+    let mut samples = vec![(started, world.arrivals(id))];
+    for node in nodes.iter().cycle() {
+        if started.elapsed() > time {
+            break;
+        }
+        node.get("/one/x", "r").await;
+        samples.push((Instant::now(), world.arrivals(id)));
+    }
+    let within_second = |(first, before): &(Instant, usize)| {
+        let window = samples.iter().filter(|(at, _)| *at < *first + Duration::from_secs(1));
+        window.map(|(_, after)| after.saturating_sub(*before)).max().unwrap_or(0)
+    };
+    samples.iter().map(within_second).max().unwrap_or(0)
+}
+
+async fn start(world: &World) -> [Node; 2] {
+    world.configure_cold_limit(7);
+    let nodes =
+        [Node::ready_in("perth-1", "a", world).await, Node::ready_in("perth-2", "b", world).await];
+    until("both hosts are registered", || async { world.kv.keys("hosts/").len() == 2 }).await;
+    most_per_second(world, &nodes, "single@perth-1", Duration::from_secs(1)).await;
+    nodes
+}
+
+/// Crashes an upstream and starts it again, cold, under its id.
+async fn crash(world: &World, nodes: &[Node], id: &str) {
+    world.shards[id].crash();
+    most_per_second(world, nodes, id, Duration::from_millis(700)).await;
+    world.shards[id].set_cold_for(COLD_TIME);
+    world.shards[id].restart(id);
+}
+
+/// Guards against a flood of requests to an upstream that restarts cold, under its id, while the store
+/// is away, so that no entry tells of it (review/4).
+#[tokio::test(flavor = "multi_thread")]
+async fn upstream_that_restarts_cold_during_an_outage_of_the_store_gets_few_requests() {
+    let world = World::start().await;
+    let nodes = start(&world).await;
+    world.kv.set_fault(StoreFault::Silent);
+    crash(&world, &nodes, "single@perth-1").await;
+    let most = most_per_second(&world, &nodes, "single@perth-1", COLD_TIME).await;
+    assert!(most <= MAX_PER_SECOND, "{most} requests in one second");
+    assert!(most > 0, "a cold upstream is used");
+}
+
+/// Guards against upstreams that stay out of use after a restart that leaves them warm.
+#[tokio::test(flavor = "multi_thread")]
+async fn upstream_that_restarts_warm_is_used_again() {
+    let world = World::start().await;
+    let nodes = start(&world).await;
+    world.kv.set_fault(StoreFault::Silent);
+    world.shards["single@perth-1"].crash();
+    most_per_second(&world, &nodes, "single@perth-1", Duration::from_millis(700)).await;
+    world.shards["single@perth-1"].restart("single@perth-1");
+    let most =
+        most_per_second(&world, &nodes, "single@perth-1", Duration::from_millis(3_500)).await;
+    assert!(most > MAX_PER_SECOND, "{most} requests in one second");
+}
+
+/// Guards against requests that wait for an upstream whose check cannot succeed.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_is_refused_at_once_while_all_upstreams_are_gone() {
+    let world = World::start().await;
+    let nodes = start(&world).await;
+    for shard in world.of("single") {
+        shard.crash();
+    }
+    most_per_second(&world, &nodes, "single@perth-1", Duration::from_secs(1)).await;
+    let sent = Instant::now();
+    let answer = nodes[0].get("/one/x", "gone").await;
+    assert!([502, 503].contains(&answer.status().as_u16()), "{}", answer.status());
+    assert!(sent.elapsed() < Duration::from_millis(800), "{:?}", sent.elapsed());
+}
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -146,6 +146,15 @@
         self.kv.put("op/config", config.to_string().as_bytes());
     }
 
+    /// Writes a configuration in which upstreams that are cold bear five requests per second.
+    pub fn configure_cold_limit(&self, version: u64) {
+        self.configure(version);
+        let config = self.kv.get("op/config").expect("a configuration");
+        let config =
+            String::from_utf8_lossy(&config).replace("\"cold_per_s\":0.0", "\"cold_per_s\":5.0");
+        self.kv.put("op/config", config.as_bytes());
+    }
+
     /// Returns the upstreams of a service.
     pub fn of(&self, service: &str) -> Vec<&Shard> {
         let of = |id: &str| id.split_once('@').is_some_and(|(name, _)| name == service);
--- a/crates/pick/src/lib.rs
+++ b/crates/pick/src/lib.rs
@@ -36,4 +36,4 @@
 pub use crate::isolation::Isolation;
 pub use crate::rank::{ranked, ranks_first};
 pub use crate::rate_limit::{RateLimit, queue_time};
-pub use crate::replica::{Outcome, Replica, Token};
+pub use crate::replica::{Check, Outcome, Replica, Token};
--- a/crates/pick/src/replica.rs
+++ b/crates/pick/src/replica.rs
@@ -50,6 +50,9 @@
 /// that probes an upstream considered gone. [`choose`](crate::choose) does not apply this delay.
 const PROBE_DELAY: Duration = Duration::from_millis(250);
 
+/// Time after which an upstream that was too busy for a health check is checked again.
+const BUSY_DELAY: Duration = Duration::from_millis(250);
+
 /// Maximum time for which an upstream can ask for a pause.
 const MAX_PAUSE: Duration = Duration::from_secs(600);
 
@@ -79,6 +82,17 @@
     Abandoned,
 }
 
+/// Result of a check whether an upstream has restarted.
+#[derive(Clone, Copy, Debug)]
+pub enum Check {
+    /// The upstream runs, and is cold if there is a limit.
+    Running(Option<ColdStart>),
+    /// The upstream runs and had no room for the check.
+    Busy,
+    /// The upstream could not be reached.
+    Unreachable,
+}
+
 /// State of one upstream, or of one relay, as observed by this host.
 #[derive(Clone, Debug)]
 pub struct Replica {
@@ -96,6 +110,8 @@
     ejection: Option<(Instant, Duration)>,
     /// Consecutive losses.
     losses: u32,
+    /// Set while the upstream may have restarted, to whether a check of that is running.
+    suspected_restart: Option<bool>,
     cold_start: Option<ColdStart>,
     rate_limit: Option<RateLimit>,
     /// Time until which the upstream has asked for no requests.
@@ -114,6 +130,7 @@
             others: Average::new(0.0, HALF_LIFE / 10),
             ejection: None,
             losses: 0,
+            suspected_restart: None,
             cold_start: None,
             rate_limit: None,
             paused_until: None,
@@ -133,6 +150,62 @@
         (!left.is_zero()).then_some(left)
     }
 
+    /// Records that the upstream may have restarted. It gets no requests until a check has shown
+    /// whether it is cold, since a cold upstream bears few.
+    pub fn suspect_restart(&mut self) {
+        self.suspected_restart.get_or_insert(false);
+    }
+
+    /// Returns whether the upstream may have restarted.
+    pub fn may_have_restarted(&self) -> bool {
+        self.suspected_restart.is_some()
+    }
+
+    /// Returns whether the upstream may have restarted and could not be reached since, so that requests
+    /// cannot expect it to be back soon.
+    pub fn is_gone(&self) -> bool {
+        self.may_have_restarted() && self.is_considered_gone()
+    }
+
+    /// Returns whether a check of a suspected restart is due, and records that it begins. The first
+    /// one is due at once, later ones at the end of the ejection, or earlier if the upstream is
+    /// `needed`, because no other one of its service accepts requests.
+    pub fn start_check(&mut self, now: Instant, needed: bool) -> bool {
+        let due = match self.ejection {
+            Some((until, length)) if self.losses > 1 => {
+                let ejected_at = until.checked_sub(length).unwrap_or(until);
+                if needed { until.min(ejected_at + PROBE_DELAY) } else { until }
+            }
+            _ => now,
+        };
+        let starts = self.suspected_restart == Some(false) && due <= now;
+        if starts {
+            self.suspected_restart = Some(true);
+        }
+        starts
+    }
+
+    /// Records the result of a check of a suspected restart.
+    pub fn end_check(&mut self, now: Instant, check: Check) {
+        match check {
+            Check::Running(cold_start) => {
+                self.suspected_restart = None;
+                self.ejection = None;
+                self.losses = 0;
+                self.cold_start = cold_start.or(self.cold_start);
+            }
+            Check::Busy => {
+                self.suspected_restart = Some(false);
+                self.losses = self.losses.max(MIN_GONE_LOSSES);
+                self.ejection = Some((now + BUSY_DELAY, BUSY_DELAY));
+            }
+            Check::Unreachable => {
+                self.suspected_restart = Some(false);
+                self.record_loss(now);
+            }
+        }
+    }
+
     /// Sets the limit of a cold upstream, or `None` for a warm one.
     pub fn set_cold_start(&mut self, cold_start: Option<ColdStart>) {
         self.cold_start = cold_start;
@@ -205,10 +278,8 @@
     /// Records the end of a request.
     pub fn end(&mut self, now: Instant, token: Token, outcome: Outcome) {
         self.in_flight.remove(&token);
-        match outcome {
-            Outcome::Lost => self.losses += 1,
-            Outcome::Abandoned => {}
-            _ => self.losses = 0,
+        if !matches!(outcome, Outcome::Lost | Outcome::Abandoned) {
+            self.losses = 0;
         }
         match outcome {
             Outcome::Answered { time, typical } => {
@@ -223,15 +294,20 @@
             }
             Outcome::Lost => {
                 self.failures.add(now, 1.0, SAMPLE_WEIGHT);
-                let length = self.ejection.map_or(INITIAL_EJECTION_TIME, |(_, length)| {
-                    (length * 2).min(MAX_EJECTION_TIME)
-                });
-                self.ejection = Some((now + length, length));
+                self.record_loss(now);
             }
             Outcome::Abandoned => {}
         }
     }
 
+    /// Counts a loss, and ejects the replica for longer after each one in a row.
+    fn record_loss(&mut self, now: Instant) {
+        self.losses += 1;
+        let doubled = |(_, length): (_, Duration)| (length * 2).min(MAX_EJECTION_TIME);
+        let length = self.ejection.map_or(INITIAL_EJECTION_TIME, doubled);
+        self.ejection = Some((now + length, length));
+    }
+
     /// Records the load that the upstream reported with an answer, as the numbers of running and
     /// waiting requests.
     pub fn report(&mut self, now: Instant, running: u32, waiting: u32) {
@@ -241,9 +317,11 @@
     }
 
     /// Returns whether the limit of a cold start, a stated rate limit and a pause allow a request
-    /// now. An upstream that is ejected or considered gone is usable, too.
+    /// now, and the upstream is not suspected of a restart. One that is ejected or considered gone is
+    /// usable, too.
     pub fn is_usable(&self, now: Instant) -> bool {
-        self.paused_for(now).is_none()
+        self.suspected_restart.is_none()
+            && self.paused_for(now).is_none()
             && self.cold_start.is_none_or(|cold_start| cold_start.allows(now))
             && self.rate_limit.is_none_or(|rate_limit| rate_limit.available_at(now) <= now)
     }
@@ -262,7 +340,7 @@
         let paused = self.paused_until.unwrap_or(now);
         let allowed = cold_start.max(rate_limit).max(paused);
         match self.ejection {
-            Some((until, length)) if self.losses >= MIN_GONE_LOSSES => {
+            Some((until, length)) if self.is_considered_gone() => {
                 let ejected_at = until.checked_sub(length).unwrap_or(until);
                 allowed.max(ejected_at + PROBE_DELAY)
             }
@@ -270,6 +348,13 @@
         }
     }
 
+    /// Returns whether requests were lost so often that the upstream is considered gone. With a
+    /// suspected restart, that takes a failed check.
+    fn is_considered_gone(&self) -> bool {
+        let min_losses = if self.may_have_restarted() { 2 } else { MIN_GONE_LOSSES };
+        self.losses >= min_losses
+    }
+
     /// Returns whether a request was lost recently and no probe is due yet.
     pub fn is_ejected(&self, now: Instant) -> bool {
         self.ejection.is_some_and(|(until, _)| now < until)
--- a/crates/standin/src/shard.rs
+++ b/crates/standin/src/shard.rs
@@ -6,10 +6,10 @@
 use std::io::Result;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use ::platform::names::{
-    EXPECT_INSTANCE, INSTANCE, LEAVING, LIMIT, LOAD, NOT_EXECUTED, REQUEST_ID, STAMP,
+    EXPECT_INSTANCE, INSTANCE, LEAVING, LIMIT, LOAD, NOT_EXECUTED, REQUEST_ID, STAMP, WARMUP,
 };
 use hyper::header::RETRY_AFTER;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -21,6 +21,9 @@
 /// Number of requests that may wait for a slot; further ones are refused.
 const MAX_WAITING: usize = 12;
 
+/// Path of the health check, which counts neither as a request nor as a run.
+const HEALTH_PATH: &str = "/health";
+
 /// Fault that an upstream injects.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Fault {
@@ -68,6 +71,8 @@
     leaving: bool,
     /// Time that refusals ask for without requests.
     pause: Option<Duration>,
+    /// Time until which health checks state that the upstream is cold.
+    cold_until: Option<Instant>,
     records: Box<[u8]>,
     runs: Vec<Run>,
     arrivals: usize,
@@ -138,6 +143,11 @@
         self.state().service_time = service_time;
     }
 
+    /// Sets the number of requests that run at a time.
+    pub fn set_slots(&self, slots: usize) {
+        self.state().slots = slots;
+    }
+
     /// Sets the rate limit that answers state, in requests per second. It is not enforced.
     pub fn set_rate_limit(&self, rate_limit: Option<f64>) {
         self.state().rate_limit = rate_limit;
@@ -159,6 +169,16 @@
         self.state().crash_on = Some(text.into());
     }
 
+    /// Closes all connections and refuses new ones until [`restart`](Self::restart).
+    pub fn crash(&self) {
+        self.up.send_replace(false);
+    }
+
+    /// Sets the time for which health checks state that the upstream is cold.
+    pub fn set_cold_for(&self, time: Duration) {
+        self.state().cold_until = Some(Instant::now() + time);
+    }
+
     /// Accepts connections again after a crash, under the given instance id.
     pub fn restart(&self, instance: &str) {
         self.set_instance(instance);
@@ -175,6 +195,11 @@
         self.state().runs.clone()
     }
 
+    /// Returns whether the request with this id has started to run.
+    pub fn has_run(&self, id: &str) -> bool {
+        self.state().runs.iter().any(|run| &*run.id == id)
+    }
+
     /// Returns the number of requests that arrived, including refused ones.
     pub fn arrivals(&self) -> usize {
         self.state().arrivals
@@ -219,6 +244,9 @@
 
     /// Answers one request; returns whether the connection stays open.
     async fn answer(&self, stream: &mut TcpStream, message: &Message) -> Result<bool> {
+        if message.line.split(' ').nth(1) == Some(HEALTH_PATH) {
+            return self.answer_health(stream).await;
+        }
         let id = message.header(REQUEST_ID.as_str()).unwrap_or_default();
         let expected = message.header(EXPECT_INSTANCE.as_str());
         let (fault, instance, full, leaving, pause) = {
@@ -285,6 +313,19 @@
         }
     }
 
+    async fn answer_health(&self, stream: &mut TcpStream) -> Result<bool> {
+        let (instance, cold_until) = {
+            let state = self.state();
+            (state.instance.clone(), state.cold_until)
+        };
+        let left = cold_until.map(|until| until.saturating_duration_since(Instant::now()));
+        let warmup = left.filter(|left| !left.is_zero());
+        let warmup =
+            warmup.map_or_else(String::new, |left| format!("{WARMUP}: {}\r\n", left.as_millis()));
+        let head = format!("HTTP/1.1 200 OK\r\n{INSTANCE}: {instance}\r\n{warmup}");
+        write(stream, &head, b"").await.map(|()| true)
+    }
+
     /// Crashes if the request with this request line is one to crash at; returns whether it is.
     fn crash_at(&self, line: &str) -> bool {
         {
--- a/crates/table/src/service.rs
+++ b/crates/table/src/service.rs
@@ -16,6 +16,9 @@
     pub warmup: Duration,
     /// Requests per second that a cold upstream bears from all hosts together.
     pub cold_per_second: f64,
+    /// Path of the health check of an upstream, which states for how long it stays cold. Empty if
+    /// there is none.
+    pub health_path: Box<str>,
 }
 
 /// One upstream, as it registered itself.
