Suspect a restart whenever a connection cannot be opened

Connections that have fallen silent look established, so a crash behind them did not count as one until their requests had timed out. A connection that cannot be opened is now a sign of its own.

--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -94,7 +94,11 @@
         Some(pooled) => pooled,
         None => match connect(endpoint, metrics).await {
             Some(pooled) => pooled,
-            None => return Completion::Unsent,
+            None => {
+                // Established connections prove nothing then: they may have fallen silent.
+                endpoint.replica.borrow_mut().suspect_restart();
+                return Completion::Unsent;
+            }
         },
     };
     transfer(pooled, request, id, &endpoint.context.buffers, |status, answer| {
