Answer every request that a stopping host has taken

Causes: a stopping host left the directory and then kept one connection to each upstream, as hosts that callers do not use, so its requests queued up ("connection limit reached" in the log, no run); at the end of the grace period the process ended whatever was in flight; idle connections of callers and those that waited to be accepted were closed earlier, and with them requests that were on their way. Late requests alone do not explain it, and no upstream broke off.

The host now keeps its share of connections, keeps callers' connections until they have carried an answer that closes them, accepts what waits before its listener closes, and answers every request at 0.93 of the grace period: 503 if it has not run, else 502 or 504, queries with the parts that are in.

--- a/crates/limit/src/shutdown.rs
+++ b/crates/limit/src/shutdown.rs
@@ -14,10 +14,13 @@
 /// the address for a while.
 const ACCEPT_RATIO: f64 = 0.55;
 
-/// Fraction of the grace period after which requests in flight are no longer waited for. The rest
-/// is for ending the process.
+/// Fraction of the grace period after which requests in flight are answered at once.
 const CLOSE_RATIO: f64 = 0.93;
 
+/// Fraction of the grace period after which such answers are no longer waited for. The rest is for
+/// ending the process.
+const END_RATIO: f64 = 0.97;
+
 /// A graceful shutdown, from its start to the end of its grace period.
 ///
 /// At first all requests are admitted, since most take far less than the grace period. After that
@@ -58,8 +61,13 @@
         self.began + self.grace.mul_f64(ACCEPT_RATIO)
     }
 
-    /// Returns the time from which requests in flight are no longer waited for.
+    /// Returns the time at which requests in flight are answered, whatever their state.
     pub fn closes_at(&self) -> Instant {
         self.began + self.grace.mul_f64(CLOSE_RATIO)
     }
+
+    /// Returns the time by which the last answers must have been sent.
+    pub fn ends_at(&self) -> Instant {
+        self.began + self.grace.mul_f64(END_RATIO)
+    }
 }
--- a/crates/limit/tests/shutdown.rs
+++ b/crates/limit/tests/shutdown.rs
@@ -47,6 +47,7 @@
             prop_assert!(is_excused || deadline <= shutdown.closes_at());
         }
         prop_assert!(shutdown.accepts_until() <= shutdown.closes_at());
-        prop_assert!(shutdown.closes_at() < began + ms(grace));
+        prop_assert!(shutdown.closes_at() < shutdown.ends_at());
+        prop_assert!(shutdown.ends_at() < began + ms(grace));
     }
 }
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use feed::Departure;
+use futures::FutureExt;
 use futures::stream::{FuturesUnordered, StreamExt};
 use gather::{Availability, Gather, Part, Step};
 use http_body_util::Full;
@@ -119,6 +120,8 @@
     registry: Rc<Registry>,
     /// Set once the shutdown has begun.
     shutdown: Cell<Option<Shutdown>>,
+    /// Whether requests in flight are to be answered at once, at the end of the shutdown.
+    closing: watch::Sender<bool>,
     open_connections: Cell<usize>,
     answered: Cell<u32>,
     loop_lag: RefCell<LoopLag>,
@@ -141,6 +144,7 @@
             shared,
             registry: Rc::clone(&registry),
             shutdown: Cell::new(None),
+            closing: watch::channel(false).0,
             open_connections: Cell::new(0),
             answered: Cell::new(0),
             loop_lag: RefCell::new(LoopLag::new(Instant::now())),
@@ -204,13 +208,13 @@
 
     async fn accept(self: Rc<Self>, listener: TcpListener) {
         let listener = into_tokio(listener);
-        let (close, closing) = watch::channel(false);
         let mut stop = self.shared.stop.clone();
         let grace = self.shared.settings.bounds.grace;
         let stopped = async {
             stop.wait().await;
             let shutdown = Shutdown::new(Instant::now(), grace);
             self.shutdown.set(Some(shutdown));
+            self.registry.begin_shutdown();
             log::info!(
                 open = self.open_connections.get();
                 "shutting down: answers close their connections"
@@ -221,29 +225,50 @@
         tokio::pin!(stopped);
         let shutdown = loop {
             tokio::select! {
-                stream = accept(&listener) => {
-                    let front = Rc::clone(&self);
-                    let closing = closing.clone();
-                    tokio::task::spawn_local(front.connection(TokioIo::new(stream), closing));
-                }
+                stream = accept(&listener) => self.spawn_connection(stream),
                 shutdown = &mut stopped => break shutdown,
             }
         };
+        // Connections that still wait would be reset together with the listener.
+        while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+            self.spawn_connection(stream);
+        }
         drop(listener);
-        close.send_replace(true);
-        let deadline = shutdown.closes_at();
+        self.wait_for_requests(shutdown.closes_at()).await;
+        log::info!(open = self.open_connections.get(); "no longer waiting for requests in flight");
+        self.closing.send_replace(true);
+        self.wait_for_requests(shutdown.ends_at()).await;
+    }
+
+    /// Waits until all connections of callers and all relay requests have ended, at most until
+    /// `deadline`.
+    async fn wait_for_requests(&self, deadline: Instant) {
         while self.open_connections.get() + self.relay.in_flight() > 0 && Instant::now() < deadline
         {
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
-        log::info!(open = self.open_connections.get(); "no longer waiting for requests in flight");
     }
 
-    async fn connection(
-        self: Rc<Self>,
-        stream: TokioIo<tokio::net::TcpStream>,
-        mut closing: watch::Receiver<bool>,
-    ) {
+    /// Waits until requests in flight are to be answered at once.
+    async fn closing(&self) {
+        // The sender lives as long as the server, so this cannot fail.
+        let _ = self.closing.subscribe().wait_for(|closing| *closing).await;
+    }
+
+    /// Returns the next event of a request, or [`Event::Due`] if it is to be answered at once.
+    async fn next_event(&self, fanout: &mut Fanout, until: Instant) -> Event {
+        tokio::select! {
+            biased;
+            event = fanout.next(until) => event,
+            () = self.closing() => Event::Due,
+        }
+    }
+
+    fn spawn_connection(self: &Rc<Self>, stream: tokio::net::TcpStream) {
+        tokio::task::spawn_local(Rc::clone(self).connection(TokioIo::new(stream)));
+    }
+
+    async fn connection(self: Rc<Self>, stream: TokioIo<tokio::net::TcpStream>) {
         self.open_connections.set(self.open_connections.get() + 1);
         let limits = self.registry.view().table.as_ref().map(|table| table.limits().clone());
         let limits = limits.unwrap_or_default();
@@ -254,6 +279,7 @@
             let state = state.replace(gather::Connection::Kept);
             async move { Ok::<_, Infallible>(front.handle(request, state).await) }
         });
+        let mut closing = self.closing.subscribe();
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             // The HTTP library applies this timeout to idle connections, too.
@@ -261,7 +287,9 @@
             .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES))
             .serve_connection(stream, service);
         tokio::pin!(connection);
+        // Requests that have arrived are read before the connection is closed.
         let result = tokio::select! {
+            biased;
             result = connection.as_mut() => result,
             _ = closing.wait_for(|closing| *closing) => {
                 connection.as_mut().graceful_shutdown();
@@ -289,7 +317,13 @@
         let outcome = match call {
             Ok(mut call) => {
                 call.headers.remove(FORWARDED_HEADER);
-                self.serve(arrival, call, request, forwarded).await
+                tokio::select! {
+                    biased;
+                    outcome = self.serve(arrival, call, request, forwarded) => outcome,
+                    () = self.closing() => {
+                        Outcome::error(StatusCode::BAD_GATEWAY, None, "this host has shut down")
+                    }
+                }
             }
             Err(error) => {
                 log::info!(path, error:%; "malformed request");
@@ -496,7 +530,7 @@
         let mut fanout =
             Fanout::new(Rc::clone(&self.registry), metrics, outgoing, route, services, 1, 0);
         fanout.start(Instant::now());
-        let outcome = match fanout.next(deadline).await {
+        let outcome = match self.next_event(&mut fanout, deadline).await {
             Event::Part(_, reply) | Event::Lost(_, Some(reply)) => Outcome::from_reply(reply),
             Event::Lost(_, None) if fanout.is_not_run() => Outcome::error(
                 StatusCode::SERVICE_UNAVAILABLE,
@@ -553,7 +587,9 @@
         availability.unavailable_by(soft_deadline).for_each(|shard| fanout.skip(shard));
         fanout.start_query(Instant::now(), soft_deadline);
         loop {
-            let until = match state.step(Instant::now()) {
+            // At the end of a shutdown the query is answered with the parts that are in.
+            let now = if *self.closing.borrow() { deadline } else { Instant::now() };
+            let until = match state.step(now) {
                 Step::Wait(until) => until,
                 Step::Answer => {
                     if fanout.is_congested() && Instant::now() > soft_deadline + LATE_MARGIN {
@@ -582,7 +618,7 @@
                     };
                 }
             };
-            match fanout.next(until).await {
+            match self.next_event(&mut fanout, until).await {
                 Event::Part(index, reply) => match part(reply) {
                     Some(part) => state.add(index, part),
                     None => state.mark_lost(index),
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -84,6 +84,9 @@
     context: Rc<Context>,
     random: StdRng,
     recent_advertised: Option<(Instant, usize)>,
+    /// Whether callers are told to use this host.
+    is_advertised: bool,
+    is_shutting_down: bool,
     /// Whether this host forwards the requests that reach it, because callers are told to use others
     /// and its processor share is small.
     forwards: bool,
@@ -187,6 +190,8 @@
             forwarders: Forwarders::default(),
             random: StdRng::seed_from_u64(seed),
             recent_advertised: None,
+            is_advertised: false,
+            is_shutting_down: false,
             forwards: false,
             slack: 0.0,
         };
@@ -233,6 +238,12 @@
         *newest = version.max(*newest);
     }
 
+    /// Records that the shutdown of the host has begun. It is no longer advertised then, but keeps
+    /// its share of connections and attempts, which its requests in flight need.
+    pub fn begin_shutdown(&self) {
+        self.state.borrow_mut().is_shutting_down = true;
+    }
+
     /// Returns the upstreams to which connections are tried in order to learn whether the host is
     /// isolated, if that is due. One of them is in the host's own failure domain, if there is any.
     pub fn start_isolation_check(&self, now: Instant) -> Option<Vec<Rc<Endpoint>>> {
@@ -280,9 +291,12 @@
     pub fn update(&self, now: Instant, view: Arc<View>) -> Vec<Rc<Endpoint>> {
         let state = &mut *self.state.borrow_mut();
         let names = advertised_names(&view);
+        if !state.is_shutting_down {
+            state.is_advertised = names.contains(&self.settings.host);
+        }
         let advertised = Advertised {
             count: state.recent_advertised(now, names.len()),
-            includes_self: names.contains(&self.settings.host),
+            includes_self: state.is_advertised,
         };
         state.forwards =
             !advertised.includes_self && directory::is_weak(&view, self.settings.cores);
