--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -91,15 +91,13 @@
 ) -> Completion {
     let sent = Instant::now();
     let pooled = match endpoint.connections.checkout(sent) {
-        Some(pooled) => pooled,
-        None => match connect(endpoint, metrics).await {
-            Some(pooled) => pooled,
-            None => {
-                // Established connections prove nothing then: they may have fallen silent.
-                endpoint.replica.borrow_mut().suspect_restart();
-                return Completion::Unsent;
-            }
-        },
+        Some(pooled) => Some(pooled),
+        None => connect(endpoint, metrics).await,
+    };
+    let Some(pooled) = pooled else {
+        // Established connections prove nothing then: they may have fallen silent.
+        endpoint.replica.borrow_mut().suspect_restart();
+        return Completion::Unsent;
     };
     transfer(pooled, request, id, &endpoint.context.buffers, |status, answer| {
         let now = Instant::now();
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -1,7 +1,8 @@
 //! The server for callers' requests.
 
+mod connections;
+
 use std::cell::{Cell, RefCell};
-use std::convert::Infallible;
 use std::net::{TcpListener, UdpSocket};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -9,16 +10,12 @@
 use std::time::{Duration, Instant};
 
 use feed::Departure;
-use futures::FutureExt;
 use futures::stream::{FuturesUnordered, StreamExt};
 use gather::{Availability, Gather, Part, Step};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
 use limit::{LoopLag, Shutdown, TICK_INTERVAL};
 use platform::Call;
 use table::{Route, ServiceName, Target, View};
@@ -36,7 +33,7 @@
 use crate::registry::Registry;
 use crate::relay::Relay;
 use crate::reporter::Report;
-use crate::server::{Body, accept, into_tokio};
+use crate::server::Body;
 use crate::start::Shared;
 use crate::suspect::{refusal, take_evidence};
 
@@ -73,9 +70,6 @@
 /// known with the next update of the store.
 const NO_UPSTREAM_RETRY_DELAY: Duration = Duration::from_millis(300);
 
-/// Minimum buffer size that the HTTP library accepts.
-const MIN_BUFFER_BYTES: usize = 8 * 1024;
-
 /// Maximum number of hosts to which a request is forwarded.
 const MAX_FORWARD_ATTEMPTS: usize = 3;
 
@@ -206,102 +200,6 @@
         self.registry.end_isolation_check(Instant::now(), started, connected);
     }
 
-    async fn accept(self: Rc<Self>, listener: TcpListener) {
-        let listener = into_tokio(listener);
-        let mut stop = self.shared.stop.clone();
-        let grace = self.shared.settings.bounds.grace;
-        let stopped = async {
-            stop.wait().await;
-            let shutdown = Shutdown::new(Instant::now(), grace);
-            self.shutdown.set(Some(shutdown));
-            self.registry.begin_shutdown();
-            log::info!(
-                open = self.open_connections.get();
-                "shutting down: answers close their connections"
-            );
-            tokio::time::sleep_until(shutdown.accepts_until().into()).await;
-            shutdown
-        };
-        tokio::pin!(stopped);
-        let shutdown = loop {
-            tokio::select! {
-                stream = accept(&listener) => self.spawn_connection(stream),
-                shutdown = &mut stopped => break shutdown,
-            }
-        };
-        // Connections that still wait would be reset together with the listener.
-        while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
-            self.spawn_connection(stream);
-        }
-        drop(listener);
-        self.wait_for_requests(shutdown.closes_at()).await;
-        log::info!(open = self.open_connections.get(); "no longer waiting for requests in flight");
-        self.closing.send_replace(true);
-        self.wait_for_requests(shutdown.ends_at()).await;
-    }
-
-    /// Waits until all connections of callers and all relay requests have ended, at most until
-    /// `deadline`.
-    async fn wait_for_requests(&self, deadline: Instant) {
-        while self.open_connections.get() + self.relay.in_flight() > 0 && Instant::now() < deadline
-        {
-            tokio::time::sleep(Duration::from_millis(20)).await;
-        }
-    }
-
-    /// Waits until requests in flight are to be answered at once.
-    async fn closing(&self) {
-        // The sender lives as long as the server, so this cannot fail.
-        let _ = self.closing.subscribe().wait_for(|closing| *closing).await;
-    }
-
-    /// Returns the next event of a request, or [`Event::Due`] if it is to be answered at once.
-    async fn next_event(&self, fanout: &mut Fanout, until: Instant) -> Event {
-        tokio::select! {
-            biased;
-            event = fanout.next(until) => event,
-            () = self.closing() => Event::Due,
-        }
-    }
-
-    fn spawn_connection(self: &Rc<Self>, stream: tokio::net::TcpStream) {
-        tokio::task::spawn_local(Rc::clone(self).connection(TokioIo::new(stream)));
-    }
-
-    async fn connection(self: Rc<Self>, stream: TokioIo<tokio::net::TcpStream>) {
-        self.open_connections.set(self.open_connections.get() + 1);
-        let limits = self.registry.view().table.as_ref().map(|table| table.limits().clone());
-        let limits = limits.unwrap_or_default();
-        let front = Rc::clone(&self);
-        let state = Cell::new(gather::Connection::New);
-        let service = service_fn(move |request| {
-            let front = Rc::clone(&front);
-            let state = state.replace(gather::Connection::Kept);
-            async move { Ok::<_, Infallible>(front.handle(request, state).await) }
-        });
-        let mut closing = self.closing.subscribe();
-        let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            // The HTTP library applies this timeout to idle connections, too.
-            .header_read_timeout(limits.idle_timeout)
-            .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES))
-            .serve_connection(stream, service);
-        tokio::pin!(connection);
-        // Requests that have arrived are read before the connection is closed.
-        let result = tokio::select! {
-            biased;
-            result = connection.as_mut() => result,
-            _ = closing.wait_for(|closing| *closing) => {
-                connection.as_mut().graceful_shutdown();
-                connection.await
-            }
-        };
-        if let Err(error) = result {
-            log::debug!(error:%; "connection of a caller failed");
-        }
-        self.open_connections.set(self.open_connections.get() - 1);
-    }
-
     async fn handle(
         &self,
         request: Request<Incoming>,
