--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -36,7 +36,7 @@
     report: &mut Report,
 ) {
     let id = &exchange.id;
-    if exchange.route == Route::NonIdempotent && runs.len() > 1 {
+    if matches!(exchange.route, Route::NonIdempotent | Route::Long) && runs.len() > 1 {
         report.add_violation(Violation::DuplicateRun, format!("{id} ran {} times", runs.len()));
     }
     if matches!(exchange.status, 408 | 421 | 429 | 503) && !runs.is_empty() {
@@ -91,7 +91,7 @@
             let bodies = distinct.iter().map(|index| &*environment.upstreams[*index].records);
             greatest(bodies, TOP_K) == exchange.body
         }
-        Route::NonIdempotent | Route::Crashing | Route::Version(_) => {
+        Route::NonIdempotent | Route::Crashing | Route::Long | Route::Version(_) => {
             bodies().any(|body| *body == *exchange.body)
         }
     };
--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -15,9 +15,12 @@
 
 use crate::environment::ROUTE_HOST;
 
-/// Time that a client waits for an answer; the routes time out after two seconds.
+/// Time that a client waits for an answer; most routes time out after two seconds.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Time that a client waits for an answer on [`Route::Long`], which times out after ten seconds.
+const LONG_ANSWER_TIMEOUT: Duration = Duration::from_secs(12);
+
 /// Last segment of the path of [`Route::Crashing`].
 pub const CRASHING: &str = "crashing";
 
@@ -30,6 +33,8 @@
     NonIdempotent,
     /// A non-idempotent request at which upstreams crash if they are told to.
     Crashing,
+    /// A route with a long timeout, whose requests are not idempotent.
+    Long,
     /// The route that exists only in this version of the configuration.
     Version(u64),
 }
@@ -45,6 +50,8 @@
     pub host: usize,
     /// When the request was sent.
     pub sent: Instant,
+    /// Whether there was a connection on which the request was sent.
+    pub connected: bool,
     /// When the answer was complete or the request failed.
     pub ended: Instant,
     /// Status of the answer, or 0 if there was none.
@@ -61,6 +68,13 @@
     pub cut: bool,
 }
 
+impl Exchange {
+    /// Returns whether the connection ended without a complete answer.
+    pub fn is_unanswered(&self) -> bool {
+        self.connected && (self.status == 0 || self.cut)
+    }
+}
+
 /// A client that keeps one connection open and reconnects after a failure.
 pub struct Client {
     host: usize,
@@ -74,13 +88,14 @@
         Self { host, address, connection: None }
     }
 
-    /// Sends one request, waits for its answer for at most four seconds and returns the outcome.
+    /// Sends one request, waits for its answer for a limited time and returns the outcome.
     pub async fn send(&mut self, id: &str, route: Route) -> Exchange {
         let mut exchange = Exchange {
             id: id.into(),
             route,
             host: self.host,
             sent: Instant::now(),
+            connected: false,
             ended: Instant::now(),
             status: 0,
             stamps: BTreeSet::new(),
@@ -89,7 +104,8 @@
             body: Bytes::new(),
             cut: false,
         };
-        let result = tokio::time::timeout(ANSWER_TIMEOUT, self.try_send(&mut exchange)).await;
+        let timeout = if route == Route::Long { LONG_ANSWER_TIMEOUT } else { ANSWER_TIMEOUT };
+        let result = tokio::time::timeout(timeout, self.try_send(&mut exchange)).await;
         if result != Ok(Some(())) {
             self.connection = None;
         }
@@ -103,12 +119,14 @@
             Route::AllShards => "/all/x".into(),
             Route::NonIdempotent => "/once/x".into(),
             Route::Crashing => format!("/once/{CRASHING}"),
+            Route::Long => "/long/x".into(),
             Route::Version(version) => format!("/v{version}/x"),
         };
+        let deadline = if exchange.route == Route::Long { "10000" } else { "2500" };
         let request = Request::get(path)
             .header("host", ROUTE_HOST)
             .header(REQUEST_ID, &*exchange.id)
-            .header(DEADLINE, "2500")
+            .header(DEADLINE, deadline)
             .body(Empty::new())
             .ok()?;
         let mut open = self.connection.take();
@@ -121,6 +139,7 @@
             Some(open) => open,
             None => connect(self.address).await?,
         };
+        exchange.connected = true;
         let connection = self.connection.insert(open);
         let response = connection.send_request(request).await.ok()?;
         read_head(exchange, &response);
--- a/crates/soak/src/environment.rs
+++ b/crates/soak/src/environment.rs
@@ -19,6 +19,15 @@
 /// Number of shards of the query.
 pub const SHARDS: usize = 6;
 
+/// Requests per second that a cold upstream bears.
+pub const COLD_PER_SECOND: f64 = 5.0;
+
+/// Service of the requests that take long.
+pub const LONG_SERVICE: &str = "long";
+
+/// Number of requests that an upstream of [`LONG_SERVICE`] runs at a time.
+const LONG_SLOTS: usize = 64;
+
 /// Maximum number of records in an answer to the query.
 pub const TOP_K: usize = 5;
 
@@ -65,7 +74,9 @@
         let store = Kv::start().await?;
         let mut upstreams = Vec::new();
         let services = (0..SHARDS).map(|shard| format!("shard-{shard}"));
-        for (service_index, service) in services.chain(["single".to_string()]).enumerate() {
+        for (service_index, service) in
+            services.chain([LONG_SERVICE.into(), "single".to_string()]).enumerate()
+        {
             for (domain_index, domain) in UPSTREAM_DOMAINS.into_iter().enumerate() {
                 let id = format!("{service}@{domain}");
                 // The first byte of each record identifies the service, and the second byte of the
@@ -75,6 +86,9 @@
                 body[16] = 100 + service_index as u8;
                 body[17] = domain_index as u8;
                 let shard = Shard::start(&id, service_time, &body).await?;
+                if service == LONG_SERVICE {
+                    shard.set_slots(LONG_SLOTS);
+                }
                 let proxy = Proxy::start(shard.address()).await?;
                 upstreams.push(Upstream {
                     id: id.into(),
@@ -110,15 +124,30 @@
 
     /// Writes the entry of an upstream into the store, in the state `ready` or `draining`.
     pub fn register(&self, upstream: &Upstream, state: &str) {
+        self.write_entry(upstream, state, Duration::ZERO);
+    }
+
+    /// Writes the entry of an upstream that stays cold for `warmup_left`.
+    pub fn register_cold(&self, upstream: &Upstream, warmup_left: Duration) {
+        self.write_entry(upstream, "ready", warmup_left);
+    }
+
+    fn write_entry(&self, upstream: &Upstream, state: &str, warmup_left: Duration) {
+        let warmup_ms = warmup_left.as_millis() as u64;
         let sequence = self.entries.fetch_add(1, Ordering::Relaxed);
         let entry = json!({
             "service": upstream.service, "address": upstream.proxy.address(),
             "zone": upstream.domain, "version": "v1", "capacity": 2, "state": state,
-            "warmup_left_ms": 0, "sequence": sequence,
+            "warmup_left_ms": warmup_ms, "sequence": sequence,
         });
         self.store.put(&format!("servers/{}", upstream.id), entry.to_string().as_bytes());
     }
 
+    /// Removes the entry of an upstream, which runs on.
+    pub fn remove(&self, upstream: &Upstream) {
+        self.store.remove(&format!("servers/{}", upstream.id));
+    }
+
     /// Restores the store from a copy, and writes again what operators and upstreams have written or
     /// removed since.
     pub fn restore(&self, snapshot: &Snapshot) {
@@ -152,13 +181,20 @@
         all_shards["min_shard_share"] = json!(0.5);
         let mut non_idempotent = route("/once/", "non_idempotent");
         non_idempotent["service"] = json!("single");
+        let mut long = route("/long/", "non_idempotent");
+        long["service"] = json!(LONG_SERVICE);
+        long["timeout_ms"] = json!(10_000);
         let mut versioned = route(&format!("/v{version}/"), "idempotent");
         versioned["service"] = json!("single");
-        let service = |name: &str| json!({"name": name, "health_path": "/health", "max_conns": 26});
+        let service = |name: &str| {
+            json!({"name": name, "health_path": "/health", "max_conns": 26, "warmup_s": 3.0,
+                "cold_per_s": COLD_PER_SECOND})
+        };
         let mut services: Vec<_> = shards.iter().map(|shard| service(shard)).collect();
         services.push(service("single"));
+        services.push(json!({"name": LONG_SERVICE, "health_path": "/health", "max_conns": 1_000}));
         let config = json!({
-            "version": version, "routes": [all_shards, non_idempotent, versioned],
+            "version": version, "routes": [all_shards, non_idempotent, long, versioned],
             "services": services, "limits": {"max_header_bytes": 16_384, "max_body_bytes": 65_536,
                 "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000},
         });
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -9,11 +9,14 @@
 mod calm;
 mod check;
 mod client;
+mod cold;
 mod environment;
 mod faults;
 mod host;
 mod report;
 mod run;
+mod shutdown;
+mod source;
 
 pub use crate::report::{Report, Violation};
 pub use crate::run::{Plan, run};
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -27,6 +27,12 @@
                 .action(clap::ArgAction::SetTrue)
                 .help("Injects no faults, for measurements"),
         )
+        .arg(
+            clap::Arg::new("binary")
+                .long("binary")
+                .value_name("path")
+                .help("Host program to run instead of the one beside this program"),
+        )
         .arg(
             clap::Arg::new("upgrade-from")
                 .long("upgrade-from")
@@ -44,7 +50,8 @@
     let matches = command().get_matches();
     let number = |name: &str| matches.get_one::<u64>(name).copied().unwrap_or_default();
     let folder = matches.get_one::<String>("folder").map_or_else(PathBuf::new, PathBuf::from);
-    let binary = std::env::current_exe().map(|path| path.with_file_name("pistachio-node"));
+    let beside = std::env::current_exe().map(|path| path.with_file_name("pistachio-node"));
+    let binary = matches.get_one::<String>("binary").map(PathBuf::from).map_or(beside, Ok);
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
     let (Ok(binary), Ok(runtime)) = (binary, runtime) else {
         eprintln!("pistachio-soak: cannot find the path of this program or start the runtime");
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -28,6 +28,10 @@
     CrashRepeated,
     /// A host that was shutting down gracefully cut an answer off.
     CutAnswer,
+    /// A request that a host had taken during its graceful shutdown ended without an answer.
+    LostRequest,
+    /// A cold upstream got more requests than it bears.
+    ColdFlood,
     /// A host did not serve requests again after all faults had ended.
     NotRecovered,
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,5 +1,6 @@
 //! A run: hosts, clients and faults, and the checks of each answer.
 
+use std::collections::BTreeSet;
 use std::io::Result;
 use std::ops::Range;
 use std::path::PathBuf;
@@ -146,6 +147,9 @@
         );
     }
     run.change_undisturbed(random.random_range(0..1_000)).await;
+    run.cut_source(random.random()).await;
+    run.restart_cold(random.random()).await;
+    run.stop_host(random.random(), random.random_range(0..1_000)).await;
     run.done.store(true, Ordering::Relaxed);
     for client in clients {
         client.await?;
@@ -339,7 +343,7 @@
 
     /// Starts a host again as soon as its process has exited. A process that is still running after
     /// its grace period is killed.
-    async fn relaunch(&self, index: usize) {
+    pub async fn relaunch(&self, index: usize) {
         let end = Instant::now() + SHUTDOWN_GRACE + SCHEDULING_SLACK;
         loop {
             {
@@ -364,7 +368,7 @@
     }
 
     /// Sets the impairment of the connections from a host to the store.
-    fn impair_store_link(&self, target: usize, impairment: Impairment) {
+    pub fn impair_store_link(&self, target: usize, impairment: Impairment) {
         let mut hosts = lock(&self.hosts);
         let index = target % hosts.len();
         hosts[index].store.set(impairment);
@@ -408,7 +412,7 @@
         tokio::join!(drain, restore);
     }
 
-    fn set_store_fault(&self, fault: StoreFault) {
+    pub fn set_store_fault(&self, fault: StoreFault) {
         self.mark_store_disturbed();
         lock(&self.environment).store.set_fault(fault);
     }
@@ -429,6 +433,21 @@
         disturbed.is_some_and(|at| at + UNDISTURBED_WINDOW < start)
     }
 
+    /// Returns how many of these requests clients have sent to hosts other than `host`.
+    pub fn count_sent_by_others(&self, ids: &BTreeSet<Box<str>>, host: usize) -> usize {
+        let exchanges = lock(&self.exchanges);
+        let others = exchanges.iter().filter(|exchange| exchange.host != host);
+        others.filter(|exchange| ids.contains(&exchange.id)).count()
+    }
+
+    /// Adds exchanges to the history that is checked at the end.
+    pub fn add_exchanges(&self, added: Vec<Exchange>) {
+        for exchange in &added {
+            lock(&self.report).count_answer(exchange.status);
+        }
+        lock(&self.exchanges).extend(added);
+    }
+
     /// Returns the number of requests that these upstreams have received so far.
     pub fn arrivals(&self, ids: &[Box<str>]) -> usize {
         let environment = lock(&self.environment);
