Run the short soak with four hosts, so that one follows another

With three hosts each is the first of its failure domain, and a source that is cut off has no followers. The source is drawn among the followed hosts.

--- a/crates/soak/src/source.rs
+++ b/crates/soak/src/source.rs
@@ -33,8 +33,9 @@
     pub async fn cut_source(self: &Arc<Self>, seed: u64) {
         let mut random = StdRng::seed_from_u64(seed);
         let hosts = lock(&self.hosts).len();
-        // Hosts are named in the order of their numbers; later ones of the domain follow the first.
-        let source = random.random_range(0..HOST_DOMAINS.len().min(hosts));
+        // Hosts take the domains in turn, and later ones of a domain follow the first.
+        let followed = hosts.saturating_sub(HOST_DOMAINS.len()).clamp(1, HOST_DOMAINS.len());
+        let source = random.random_range(0..followed);
         let impairments =
             [Impairment::Cut, Impairment::Reset, Impairment::OneWay, Impairment::Stall];
         let impairment = impairments[random.random_range(0..impairments.len())];
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -22,7 +22,7 @@
     let plan = Plan {
         seed,
         duration: Duration::from_secs(4),
-        hosts: 3,
+        hosts: 4,
         clients_per_host: 2,
         upgrade_from: None,
         no_faults: false,
