--- a/crates/node/src/front/connections.rs
+++ b/crates/node/src/front/connections.rs
@@ -46,7 +46,7 @@
             }
         };
         // Connections that still wait would be reset together with the listener.
-        while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+        while let Some(stream) = accept(&listener).now_or_never() {
             self.spawn_connection(stream);
         }
         drop(listener);
--- a/crates/pick/src/replica.rs
+++ b/crates/pick/src/replica.rs
@@ -93,6 +93,13 @@
     Unreachable,
 }
 
+/// State of a suspicion that an upstream has restarted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Restart {
+    Suspected,
+    Checking,
+}
+
 /// State of one upstream, or of one relay, as observed by this host.
 #[derive(Clone, Debug)]
 pub struct Replica {
@@ -110,8 +117,8 @@
     ejection: Option<(Instant, Duration)>,
     /// Consecutive losses.
     losses: u32,
-    /// Set while the upstream may have restarted, to whether a check of that is running.
-    suspected_restart: Option<bool>,
+    /// Set while the upstream may have restarted.
+    restart: Option<Restart>,
     cold_start: Option<ColdStart>,
     rate_limit: Option<RateLimit>,
     /// Time until which the upstream has asked for no requests.
@@ -130,7 +137,7 @@
             others: Average::new(0.0, HALF_LIFE / 10),
             ejection: None,
             losses: 0,
-            suspected_restart: None,
+            restart: None,
             cold_start: None,
             rate_limit: None,
             paused_until: None,
@@ -153,12 +160,12 @@
     /// Records that the upstream may have restarted. It gets no requests until a check has shown
     /// whether it is cold, since a cold upstream bears few.
     pub fn suspect_restart(&mut self) {
-        self.suspected_restart.get_or_insert(false);
+        self.restart.get_or_insert(Restart::Suspected);
     }
 
     /// Returns whether the upstream may have restarted.
     pub fn may_have_restarted(&self) -> bool {
-        self.suspected_restart.is_some()
+        self.restart.is_some()
     }
 
     /// Returns whether the upstream may have restarted and could not be reached since, so that requests
@@ -178,9 +185,9 @@
             }
             _ => now,
         };
-        let starts = self.suspected_restart == Some(false) && due <= now;
+        let starts = self.restart == Some(Restart::Suspected) && due <= now;
         if starts {
-            self.suspected_restart = Some(true);
+            self.restart = Some(Restart::Checking);
         }
         starts
     }
@@ -189,18 +196,18 @@
     pub fn end_check(&mut self, now: Instant, check: Check) {
         match check {
             Check::Running(cold_start) => {
-                self.suspected_restart = None;
+                self.restart = None;
                 self.ejection = None;
                 self.losses = 0;
                 self.cold_start = cold_start.or(self.cold_start);
             }
             Check::Busy => {
-                self.suspected_restart = Some(false);
+                self.restart = Some(Restart::Suspected);
                 self.losses = self.losses.max(MIN_GONE_LOSSES);
                 self.ejection = Some((now + BUSY_DELAY, BUSY_DELAY));
             }
             Check::Unreachable => {
-                self.suspected_restart = Some(false);
+                self.restart = Some(Restart::Suspected);
                 self.record_loss(now);
             }
         }
@@ -320,7 +327,7 @@
     /// now, and the upstream is not suspected of a restart. One that is ejected or considered gone is
     /// usable, too.
     pub fn is_usable(&self, now: Instant) -> bool {
-        self.suspected_restart.is_none()
+        self.restart.is_none()
             && self.paused_for(now).is_none()
             && self.cold_start.is_none_or(|cold_start| cold_start.allows(now))
             && self.rate_limit.is_none_or(|rate_limit| rate_limit.available_at(now) <= now)
