--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -94,11 +94,7 @@
         Some(pooled) => Some(pooled),
         None => connect(endpoint, metrics).await,
     };
-    let Some(pooled) = pooled else {
-        // Established connections prove nothing then: they may have fallen silent.
-        endpoint.replica.borrow_mut().suspect_restart();
-        return Completion::Unsent;
-    };
+    let Some(pooled) = pooled else { return Completion::Unsent };
     transfer(pooled, request, id, &endpoint.context.buffers, |status, answer| {
         let now = Instant::now();
         endpoint.context.record_answer(now);
--- a/crates/soak/src/shutdown.rs
+++ b/crates/soak/src/shutdown.rs
@@ -24,6 +24,9 @@
 /// Number of clients that keep their connections.
 const KEPT_CONNECTIONS: usize = 12;
 
+/// Probability that a signal or a configuration follows within one [`OPEN_INTERVAL`] of the shutdown.
+const CHANGE_PROBABILITY: f64 = 0.02;
+
 /// Range in milliseconds of the time that upstreams need for a request. All are long compared with the
 /// grace period.
 const WORK_MS: std::ops::Range<u64> = 1_200..2_600;
@@ -31,7 +34,7 @@
 impl Run {
     /// Shuts a host down gracefully and starts it again. Until the process is gone, clients send it
     /// long requests, on connections that they keep and on connections opened at every moment of the
-    /// shutdown. Reports the requests that were lost.
+    /// shutdown, and more signals and configurations follow. Reports the requests that were lost.
     pub async fn stop_host(self: &Arc<Self>, seed: u64, target: usize) {
         let mut random = StdRng::seed_from_u64(seed);
         let work = Duration::from_millis(random.random_range(WORK_MS));
@@ -55,6 +58,13 @@
                 lock(&self.hosts)[host].signal(Signal::TERM);
                 terminated = Some(Instant::now());
             }
+            if terminated.is_some() && random.random_bool(CHANGE_PROBABILITY) {
+                match random.random_range(0..3) {
+                    0 => lock(&self.hosts)[host].signal(Signal::HUP),
+                    1 => lock(&self.hosts)[host].signal(Signal::TERM),
+                    _ => lock(&self.environment).configure(),
+                }
+            }
             let (this, mut client) = (Arc::clone(self), Client::new(host, front));
             clients.push(tokio::spawn(async move {
                 vec![client.send(&this.next_id(), Route::Long).await]
