--- a/crates/soak/src/shutdown.rs
+++ b/crates/soak/src/shutdown.rs
@@ -75,7 +75,10 @@
         self.relaunch(host).await;
         let mut exchanges = Vec::new();
         for client in clients {
-            exchanges.extend(client.await.unwrap_or_default());
+            match client.await {
+                Ok(sent) => exchanges.extend(sent),
+                Err(error) => log::error!("a client of {front} failed: {error}"),
+            }
         }
         if let Some(terminated) = terminated {
             for exchange in &exchanges {
