--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -8,7 +8,7 @@
 end() {
     # The case ends its processes itself; this is for a case that is ended from outside.
     kill -9 $(cat "$PIDS") 2>/dev/null
-    rm -f "$PIDS"
+    rm -rf "$PIDS" "${TMPDIR:-/tmp}/review-2-$case_pid"
 }
 trap 'end; exit 2' INT TERM
 target/review-2/cases second-answer "$here/record.txt" &
