--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -5,17 +5,13 @@
 cd "$here/../.." || exit 2
 PIDS=$(mktemp) || exit 2
 export PIDS
-end() {
-    # The case ends its processes itself; this is for a case that is ended from outside.
-    kill -9 $(cat "$PIDS") 2>/dev/null
-    rm -rf "$PIDS" "${TMPDIR:-/tmp}/review-2-$case_pid"
-}
-trap 'end; exit 2' INT TERM
+# The case ends its processes itself; the list is for a case that is ended from outside.
+trap 'kill -9 $(cat "$PIDS") 2>/dev/null; rm -rf "$PIDS" "${TMPDIR:-/tmp}/review-2-$case_pid"; exit 2' INT TERM
 target/review-2/cases quick-restart "$here/record.txt" &
 case_pid=$!
 echo "$case_pid" >>"$PIDS"
 wait "$case_pid"
 status=$?
-end
+rm -f "$PIDS"
 [ "$status" -le 1 ] || status=2
 exit "$status"
