--- /dev/null
+++ b/review/standin-3/backend.rs
@@ -0,0 +1,155 @@
+//! Stand-in for a backend.
+
+use std::io::BufReader;
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use crate::http;
+use crate::store::Store;
+
+/// A request that a backend ran.
+#[derive(Clone)]
+pub struct Run {
+    pub at: Instant,
+    pub id: String,
+    pub line: String,
+    pub deadline_ms: u64,
+    pub body: Vec<u8>,
+}
+
+pub struct Settings {
+    pub id: String,
+    pub service: String,
+    pub zone: String,
+    pub slots: usize,
+    pub work: Duration,
+}
+
+pub struct Backend {
+    pub settings: Settings,
+    pub address: SocketAddr,
+    pub runs: Mutex<Vec<Run>>,
+    running: Mutex<usize>,
+    freed: Condvar,
+    up: Mutex<bool>,
+    stamps: AtomicU64,
+    arrivals: AtomicUsize,
+    born: u128,
+}
+
+impl Backend {
+    pub fn start(ip: &str, settings: Settings) -> Arc<Self> {
+        let listener = TcpListener::bind((ip, 0)).expect("a port for a backend");
+        let address = listener.local_addr().expect("the listener is bound");
+        let born = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_millis());
+        let backend = Arc::new(Self {
+            settings,
+            address,
+            runs: Mutex::default(),
+            running: Mutex::default(),
+            freed: Condvar::new(),
+            up: Mutex::new(true),
+            stamps: AtomicU64::new(0),
+            arrivals: AtomicUsize::new(0),
+            born,
+        });
+        let this = Arc::clone(&backend);
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                if !*this.up.lock().expect("no thread panics") {
+                    return;
+                }
+                let this = Arc::clone(&this);
+                thread::spawn(move || this.serve(stream));
+            }
+        });
+        backend
+    }
+
+    pub fn key(&self) -> String {
+        format!("servers/{}", self.settings.id)
+    }
+
+    /// Writes the entry of the backend.
+    pub fn register(&self, store: &Store, state: &str) {
+        let Settings { service, zone, slots, .. } = &self.settings;
+        let entry = format!(
+            "{{\"service\":\"{service}\",\"address\":\"{}\",\"zone\":\"{zone}\",\"version\":\"1\",\
+             \"capacity\":{slots},\"state\":\"{state}\",\"warmup_left_ms\":0,\"sequence\":1,\"born\":{}}}",
+            self.address, self.born
+        );
+        store.put(&self.key(), &entry);
+    }
+
+    /// Ends the backend: it accepts no more connections and answers no more requests.
+    pub fn exit(&self) {
+        *self.up.lock().expect("no thread panics") = false;
+        let _ = TcpStream::connect(self.address);
+    }
+
+    pub fn runs_after(&self, time: Instant) -> Vec<Run> {
+        let runs = self.runs.lock().expect("no thread panics");
+        runs.iter().filter(|run| run.at > time).cloned().collect()
+    }
+
+    fn is_up(&self) -> bool {
+        *self.up.lock().expect("no thread panics")
+    }
+
+    fn serve(&self, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let Ok(reader) = stream.try_clone() else { return };
+        let (mut reader, mut stream) = (BufReader::new(reader), stream);
+        while let Some(request) = http::read(&mut reader) {
+            if !self.is_up() {
+                break;
+            }
+            let answered = if request.word(1) == "/health" {
+                let headers = [("instance-id", self.settings.id.as_str()), ("warmup-ms", "0")];
+                http::write(&mut stream, "HTTP/1.1 200 OK", &headers, b"")
+            } else {
+                self.answer(&request, &mut stream)
+            };
+            if answered.is_err() {
+                break;
+            }
+        }
+        let _ = stream.shutdown(Shutdown::Both);
+    }
+
+    fn answer(&self, request: &http::Message, stream: &mut TcpStream) -> std::io::Result<()> {
+        let at = Instant::now();
+        self.arrivals.fetch_add(1, Ordering::Relaxed);
+        let id = request.header("request-id").unwrap_or("").to_string();
+        let expected = request.header("expect-instance");
+        if expected.is_some_and(|expected| expected != self.settings.id) {
+            let headers = [("request-id", id.as_str()), ("not-executed", "1")];
+            return http::write(stream, "HTTP/1.1 421 Misdirected Request", &headers, b"");
+        }
+        let deadline_ms = request.header("deadline-ms").and_then(|text| text.parse().ok());
+        let run = Run {
+            at,
+            id: id.clone(),
+            line: request.line.clone(),
+            deadline_ms: deadline_ms.unwrap_or(0),
+            body: request.body.clone(),
+        };
+        self.runs.lock().expect("no thread panics").push(run);
+        let mut running = self.running.lock().expect("no thread panics");
+        while *running >= self.settings.slots {
+            running = self.freed.wait(running).expect("no thread panics");
+        }
+        *running += 1;
+        drop(running);
+        thread::sleep(self.settings.work);
+        *self.running.lock().expect("no thread panics") -= 1;
+        self.freed.notify_one();
+        let stamp = format!("{}.{id}.{}", self.settings.id, self.stamps.fetch_add(1, Ordering::Relaxed));
+        let headers =
+            [("request-id", id.as_str()), ("server-stamp", stamp.as_str()), ("keep-alive", "timeout=30")];
+        http::write(stream, "HTTP/1.1 200 OK", &headers, stamp.as_bytes())
+    }
+}
--- /dev/null
+++ b/review/standin-3/watch_cut.rs
@@ -0,0 +1,111 @@
+//! Backends leave while the store cuts waiting watches.
+
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::backend::Backend;
+use crate::deployment::{backend, config, ip, start_hosts};
+use crate::host::Host;
+use crate::http::Connection;
+use crate::store::Store;
+use crate::{Record, Verdict};
+
+const CLIENTS: usize = 24;
+const REQUEST_INTERVAL: Duration = Duration::from_millis(40);
+/// `drain_ms` in the settings.
+const DRAIN: Duration = Duration::from_millis(3_000);
+/// Time for which a backend that leaves serves longer than that.
+const LONGER: Duration = Duration::from_millis(1_500);
+const DEPARTURES: usize = 12;
+const INTERVAL: Duration = Duration::from_millis(7_300);
+
+pub fn run(record: &Record, folder: &Path, trouble: bool) -> Verdict {
+    let store = Store::start(&ip(1));
+    store.put("op/config", &config(7));
+    let mut backends: Vec<Arc<Backend>> = (0..3).map(backend).collect();
+    backends.iter().for_each(|backend| backend.register(&store, "ready"));
+    let Some(mut hosts) = start_hosts(record, folder, &store) else {
+        return Verdict::CouldNotRun;
+    };
+    let stop = Arc::new(AtomicBool::new(false));
+    let counts: Arc<[AtomicU64; 2]> = Arc::default();
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|client| {
+            let front = hosts[client % hosts.len()].front;
+            let (stop, counts) = (Arc::clone(&stop), Arc::clone(&counts));
+            thread::spawn(move || client_loop(client, front, &stop, &counts))
+        })
+        .collect();
+    thread::sleep(Duration::from_secs(1));
+    let mut late_runs = 0;
+    let mut number = 3;
+    for departure in 0..DEPARTURES {
+        let next = record.start() + Duration::from_secs(8) + INTERVAL * departure as u32;
+        thread::sleep(next.saturating_duration_since(Instant::now()));
+        // Another backend is there some seconds before one leaves.
+        let fresh = backend(number);
+        number += 1;
+        fresh.register(&store, "ready");
+        backends.push(fresh);
+        thread::sleep(Duration::from_millis(1_800));
+        let leaving = backends.remove(0);
+        let cut = if trouble {
+            store.remove_and_cut(&leaving.key())
+        } else {
+            store.remove(&leaving.key());
+            0
+        };
+        let gone = Instant::now();
+        record.line(&format!("entry of {} removed; {cut} waiting watches cut", leaving.settings.id));
+        thread::sleep(DRAIN + LONGER);
+        leaving.exit();
+        let late = leaving.runs_after(gone + DRAIN);
+        for run in &late {
+            let after = run.at - gone;
+            let text = format!("{} ran request {} {} ms after", leaving.settings.id, run.id, after.as_millis());
+            record.line_at(run.at, &text);
+        }
+        let last = leaving.runs_after(gone).last().map_or(0, |run| (run.at - gone).as_millis());
+        let text = format!("{}: last request {last} ms after the removal, {} too late", leaving.settings.id, late.len());
+        record.line(&text);
+        late_runs += late.len();
+    }
+    stop.store(true, Ordering::Relaxed);
+    clients.into_iter().for_each(|client| drop(client.join()));
+    let [served, failed] = [0, 1].map(|index| counts[index].load(Ordering::Relaxed));
+    record.line(&format!("{served} requests served, {failed} not; {late_runs} ran later than drain_ms"));
+    if hosts.iter_mut().any(Host::has_ended) {
+        record.line("a host has ended by itself");
+        return Verdict::CouldNotRun;
+    }
+    if served == 0 {
+        return Verdict::CouldNotRun;
+    }
+    if late_runs > 0 { Verdict::Broken } else { Verdict::Held }
+}
+
+fn client_loop(client: usize, front: std::net::SocketAddr, stop: &AtomicBool, counts: &[AtomicU64; 2]) {
+    let mut connection = None;
+    let mut number = 0_u64;
+    let mut next = Instant::now() + REQUEST_INTERVAL * client as u32 / CLIENTS as u32;
+    while !stop.load(Ordering::Relaxed) {
+        thread::sleep(next.saturating_duration_since(Instant::now()));
+        next += REQUEST_INTERVAL;
+        number += 1;
+        let id = format!("{client:04x}{number:012x}");
+        let line = format!("GET /records/{number} HTTP/1.1");
+        let headers = [("host", "records.example"), ("request-id", id.as_str()), ("deadline-ms", "2000")];
+        if connection.is_none() {
+            connection = Connection::open(front, Duration::from_secs(3)).ok();
+        }
+        let answer = connection.as_mut().and_then(|connection| connection.call(&line, &headers, b""));
+        let served = answer.as_ref().is_some_and(|answer| answer.status() == 200);
+        if answer.is_none_or(|answer| answer.header("connection") == Some("close")) {
+            connection = None;
+        }
+        counts[usize::from(!served)].fetch_add(1, Ordering::Relaxed);
+    }
+}
