--- a/review/standin-3/deployment.rs
+++ b/review/standin-3/deployment.rs
@@ -19,18 +19,24 @@
     format!("127.{}.{}.{last}", 64 + pid / 250 % 60, 1 + pid % 250)
 }
 
-/// Returns a configuration with one route to the service `records`.
-pub fn config(version: u32) -> String {
+/// Returns a configuration with one route to a service.
+pub fn config(version: u32, service: &str) -> String {
+    let limits = r#""max_conns":110,"warmup_s":0,"cold_per_s":20,"health_path":"/health""#;
     format!(
-        r#"{{"version":{version},"routes":[{{"name":"records","host":"records.example","prefix":"/records/","type":"idempotent","timeout_ms":2000,"slo_ms":250,"attempts":2,"priority":0,"service":"records"}}],"services":[{{"name":"records","max_conns":110,"warmup_s":0,"cold_per_s":20,"health_path":"/health"}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":5000,"idle_timeout_ms":20000}}}}"#
+        r#"{{"version":{version},"routes":[{{"name":"records","host":"records.example","prefix":"/records/","type":"idempotent","timeout_ms":2000,"slo_ms":250,"attempts":2,"priority":0,"service":"{service}"}}],"services":[{{"name":"records",{limits}}},{{"name":"records-new",{limits}}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":5000,"idle_timeout_ms":20000}}}}"#
     )
 }
 
 /// Starts a backend of the service `records`.
 pub fn backend(number: usize) -> Arc<Backend> {
+    backend_of("records", number)
+}
+
+/// Starts a backend of a service.
+pub fn backend_of(service: &str, number: usize) -> Arc<Backend> {
     let settings = Settings {
         id: format!("i-{number:04}"),
-        service: "records".into(),
+        service: service.into(),
         zone: ZONES[number % ZONES.len()].into(),
         slots: 6,
         work: Duration::from_millis(3),
@@ -38,8 +44,14 @@
     Backend::start(&ip(200), settings)
 }
 
-/// Starts the hosts; `None` if one is not ready in time.
-pub fn start_hosts(record: &Record, folder: &Path, store: &Store) -> Option<Vec<Host>> {
+/// Starts the hosts; `None` if one is not ready in time. Each has an entrance of the store of its own, with
+/// its index and one more as the number, and the processor share that `cpu_share` tells for its index.
+pub fn start_hosts(
+    record: &Record,
+    folder: &Path,
+    store: &Arc<Store>,
+    cpu_share: impl Fn(usize) -> f64,
+) -> Option<Vec<Host>> {
     let places: Vec<(String, &str)> = (0..ZONES.len() * HOSTS_PER_ZONE)
         .map(|index| (ip(10 + index), ZONES[index / HOSTS_PER_ZONE]))
         .collect();
@@ -48,7 +60,14 @@
     let mut hosts = Vec::new();
     for (index, (ip, zone)) in places.iter().enumerate() {
         let name = format!("front-{zone}-{}", index % HOSTS_PER_ZONE + 1);
-        let place = Place { zone, ip: ip.clone(), store: store.address, seeds: &seeds, folder };
+        let place = Place {
+            zone,
+            ip: ip.clone(),
+            store: store.entrance(&crate::deployment::ip(1), index + 1),
+            seeds: &seeds,
+            cpu_share: cpu_share(index),
+            folder,
+        };
         let mut host = Host::new(&name, controls[index], &place);
         host.start();
         hosts.push(host);
--- a/review/standin-3/host.rs
+++ b/review/standin-3/host.rs
@@ -23,7 +23,7 @@
     pub ip: String,
     pub store: SocketAddr,
     pub seeds: &'a [SocketAddr],
-    /// Lines of the table `bounds` that differ from the example on the page.
+    pub cpu_share: f64,
     pub folder: &'a Path,
 }
 
@@ -39,7 +39,7 @@
 
 impl Host {
     pub fn new(name: &str, control: SocketAddr, place: &Place<'_>) -> Self {
-        let Place { zone, ip, store, seeds, folder } = place;
+        let Place { zone, ip, store, seeds, cpu_share, folder } = place;
         let address = || SocketAddr::new(ip.parse().expect("a loopback address"), free_port(ip));
         let (front, readiness, directory) = (address(), address(), address());
         let first = free_port(ip);
@@ -71,7 +71,7 @@
 control = "{control}"
 directory = "{directory}"
 [limits]
-cpu_share = 0.25
+cpu_share = {cpu_share}
 cores = 1
 memory_mb = 260
 max_fds = 4100
--- a/review/standin-3/lost_host.rs
+++ b/review/standin-3/lost_host.rs
@@ -16,7 +16,7 @@
 const CLIENTS: usize = 48;
 /// Time for which clients keep an answer of the directory.
 const TTL: Duration = Duration::from_secs(2);
-const OUTAGE: Duration = Duration::from_millis(5_000);
+fn outage(round: usize) -> Duration { let base: u64 = std::env::var("OUT").ok().and_then(|t| t.parse().ok()).unwrap_or(5000); Duration::from_millis(base + 150 * round as u64) }
 /// `contact_ms` in the settings.
 const CONTACT: Duration = Duration::from_millis(4_000);
 /// Time for which a host that is gone may still be named.
@@ -33,10 +33,10 @@
 
 pub fn run(record: &Record, folder: &Path, trouble: bool) -> Verdict {
     let store = Store::start(&ip(1));
-    store.put("op/config", &config(7));
+    store.put("op/config", &config(7, "records"));
     let backends: Vec<_> = (0..3).map(backend).collect();
     backends.iter().for_each(|backend| backend.register(&store, "ready"));
-    let Some(mut hosts) = start_hosts(record, folder, &store) else {
+    let Some(mut hosts) = start_hosts(record, folder, &store, |_| 0.25) else {
         return Verdict::CouldNotRun;
     };
     let directories: Arc<[SocketAddr]> = hosts.iter().map(|host| host.directory).collect();
@@ -51,7 +51,7 @@
         })
         .collect();
     let mut broken = 0;
-    for index in LOST {
+    for (round, index) in LOST.into_iter().enumerate() {
         thread::sleep(Duration::from_secs(1));
         answers.lock().expect("no thread panics").clear();
         lost.store(index, Ordering::Relaxed);
@@ -60,15 +60,15 @@
         record.line(&format!("{} is killed for good", hosts[index].name));
         let mut judged_from = killed + NAMED;
         if trouble {
-            store.set_mode(Mode::Silent);
+            store.set_mode(if std::env::var("BUSY").is_ok() { Mode::Busy } else { Mode::Silent });
             record.line("the store is silent");
-            thread::sleep(OUTAGE);
+            thread::sleep(outage(round));
             store.set_mode(Mode::Normal);
             let returned = Instant::now();
             record.line("the store answers again");
             judged_from = judged_from.max(returned + CONTACT);
         } else {
-            thread::sleep(OUTAGE);
+            thread::sleep(outage(round));
         }
         thread::sleep((judged_from + Duration::from_secs(3)).saturating_duration_since(Instant::now()));
         let name = format!("\"{}\"", hosts[index].front);
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -6,6 +6,7 @@
 mod http;
 mod json;
 mod lost_host;
+mod older_config;
 mod store;
 mod watch_cut;
 
@@ -59,6 +60,7 @@
     }
     let verdict = match scenario.as_str() {
         "watch-cut" => watch_cut::run(&record, &folder, trouble),
+        "older-config" => older_config::run(&record, &folder, trouble),
         "lost-host" => lost_host::run(&record, &folder, trouble),
         _ => Verdict::CouldNotRun,
     };
--- a/review/standin-3/store.rs
+++ b/review/standin-3/store.rs
@@ -12,6 +12,9 @@
 
 const PAGE_ITEMS: usize = 500;
 
+/// Time after which a connection without an answer ends; callers give up before.
+const SILENCE: Duration = Duration::from_secs(3);
+
 /// What the store does with calls.
 #[derive(Clone, Copy, PartialEq)]
 pub enum Mode {
@@ -49,6 +52,8 @@
     waiting: usize,
     /// Since when the store is down; leases pause.
     down_since: Option<Instant>,
+    /// Entrances at which no call is answered.
+    turned_away: Vec<usize>,
 }
 
 pub struct Store {
@@ -70,16 +75,11 @@
             cuts: 0,
             waiting: 0,
             down_since: None,
+            turned_away: Vec::new(),
         };
         let address = listener.local_addr().expect("the listener is bound");
         let store = Arc::new(Self { address, state: Mutex::new(state), changed: Condvar::new() });
-        let this = Arc::clone(&store);
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let this = Arc::clone(&this);
-                thread::spawn(move || this.serve(stream));
-            }
-        });
+        store.accept(listener, 0);
         let this = Arc::clone(&store);
         thread::spawn(move || {
             loop {
@@ -90,6 +90,30 @@
         store
     }
 
+    /// Opens another entrance, by which one host is told apart from the others.
+    pub fn entrance(self: &Arc<Self>, ip: &str, number: usize) -> SocketAddr {
+        let listener = TcpListener::bind((ip, 0)).expect("a port for the store");
+        let address = listener.local_addr().expect("the listener is bound");
+        self.accept(listener, number);
+        address
+    }
+
+    fn accept(self: &Arc<Self>, listener: TcpListener, entrance: usize) {
+        let this = Arc::clone(self);
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let this = Arc::clone(&this);
+                thread::spawn(move || this.serve(stream, entrance));
+            }
+        });
+    }
+
+    /// Stops answering calls at some entrances, also those that wait.
+    pub fn turn_away(&self, entrances: &[usize]) {
+        self.lock().turned_away = entrances.to_vec();
+        self.changed.notify_all();
+    }
+
     /// Writes a key as the operator or a backend does.
     pub fn put(&self, key: &str, value: &str) {
         self.lock().put(key, base64(value.as_bytes()), 0);
@@ -102,11 +126,11 @@
         self.changed.notify_all();
     }
 
-    /// Removes a key, and cuts the watches that wait before they are told. Returns their number.
-    pub fn remove_and_cut(&self, key: &str) -> usize {
+    /// Removes keys, and cuts the watches that wait before they are told. Returns their number.
+    pub fn remove_and_cut(&self, keys: &[String]) -> usize {
         let mut state = self.lock();
         state.cuts += 1;
-        state.remove(key);
+        keys.iter().for_each(|key| state.remove(key));
         let waiting = state.waiting;
         drop(state);
         self.changed.notify_all();
@@ -160,13 +184,13 @@
         }
     }
 
-    fn serve(&self, stream: TcpStream) {
+    fn serve(&self, stream: TcpStream, entrance: usize) {
         let _ = stream.set_nodelay(true);
         let Ok(reader) = stream.try_clone() else { return };
         let (mut reader, mut stream) = (BufReader::new(reader), stream);
         while let Some(request) = http::read(&mut reader) {
             thread::sleep(Duration::from_millis(4));
-            let Some((status, body)) = self.answer(&request) else { break };
+            let Some((status, body)) = self.answer(&request, entrance) else { break };
             let line = format!("HTTP/1.1 {status} X");
             let headers = [("content-type", "application/json")];
             if http::write(&mut stream, &line, &headers, body.as_bytes()).is_err() {
@@ -177,16 +201,13 @@
     }
 
     /// Returns the answer to a call; `None` if the connection ends without one.
-    fn answer(&self, request: &http::Message) -> Option<(u16, String)> {
-        loop {
-            let mode = self.lock().mode;
-            match mode {
-                Mode::Normal => break,
-                Mode::Busy => return Some((503, "{}".into())),
-                Mode::Silent => {
-                    thread::sleep(Duration::from_millis(3_000));
-                    return None;
-                }
+    fn answer(&self, request: &http::Message, entrance: usize) -> Option<(u16, String)> {
+        match self.mode(entrance) {
+            Mode::Normal => {}
+            Mode::Busy => return Some((503, "{}".into())),
+            Mode::Silent => {
+                thread::sleep(SILENCE);
+                return None;
             }
         }
         let (path, query) = request.word(1).split_once('?').unwrap_or((request.word(1), ""));
@@ -194,7 +215,7 @@
         match path {
             "/pistachiorock/kv-key" => Some(self.key(&parameter(query, "key"))),
             "/pistachiorock/kv-range" => Some(self.range(query)),
-            "/pistachiorock/kv-watch" => self.watch(query),
+            "/pistachiorock/kv-watch" => self.watch(query, entrance),
             "/pistachiorock/kv-txn" => {
                 let answer = self.lock().transact(&body);
                 self.changed.notify_all();
@@ -246,7 +267,12 @@
         (200, format!("{{\"items\":[{rows}],\"has_more\":{more},\"as_of\":{}}}", state.revision))
     }
 
-    fn watch(&self, query: &str) -> Option<(u16, String)> {
+    fn mode(&self, entrance: usize) -> Mode {
+        let state = self.lock();
+        if state.turned_away.contains(&entrance) { Mode::Silent } else { state.mode }
+    }
+
+    fn watch(&self, query: &str, entrance: usize) -> Option<(u16, String)> {
         let after: u64 = parameter(query, "after").parse().unwrap_or(0);
         let wait = parameter(query, "wait_ms").parse().unwrap_or(0);
         let end = Instant::now() + Duration::from_millis(wait);
@@ -256,6 +282,11 @@
             if state.cuts != cuts {
                 return None;
             }
+            if state.turned_away.contains(&entrance) {
+                drop(state);
+                thread::sleep(SILENCE);
+                return None;
+            }
             let rows: Vec<String> =
                 state.events.iter().filter(|event| event.revision > after).map(Event::json).collect();
             let left = end.saturating_duration_since(Instant::now());
--- a/review/standin-3/watch_cut.rs
+++ b/review/standin-3/watch_cut.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use crate::backend::Backend;
-use crate::deployment::{backend, config, ip, start_hosts};
+use crate::deployment::{ZONES, backend, config, ip, start_hosts};
 use crate::host::Host;
 use crate::http::Connection;
 use crate::store::Store;
@@ -19,15 +19,16 @@
 const DRAIN: Duration = Duration::from_millis(3_000);
 /// Time for which a backend that leaves serves longer than that.
 const LONGER: Duration = Duration::from_millis(1_500);
-const DEPARTURES: usize = 12;
-const INTERVAL: Duration = Duration::from_millis(7_300);
+/// Times at which a backend of each failure domain leaves.
+const ROUNDS: usize = 10;
+const INTERVAL: Duration = Duration::from_millis(8_000);
 
 pub fn run(record: &Record, folder: &Path, trouble: bool) -> Verdict {
     let store = Store::start(&ip(1));
-    store.put("op/config", &config(7));
+    store.put("op/config", &config(7, "records"));
     let mut backends: Vec<Arc<Backend>> = (0..3).map(backend).collect();
     backends.iter().for_each(|backend| backend.register(&store, "ready"));
-    let Some(mut hosts) = start_hosts(record, folder, &store) else {
+    let Some(mut hosts) = start_hosts(record, folder, &store, |_| 0.25) else {
         return Verdict::CouldNotRun;
     };
     let stop = Arc::new(AtomicBool::new(false));
@@ -41,37 +42,40 @@
         .collect();
     thread::sleep(Duration::from_secs(1));
     let mut late_runs = 0;
-    let mut number = 3;
-    for departure in 0..DEPARTURES {
-        let next = record.start() + Duration::from_secs(8) + INTERVAL * departure as u32;
+    for round in 0..ROUNDS {
+        let next = record.start() + Duration::from_secs(8) + INTERVAL * round as u32;
         thread::sleep(next.saturating_duration_since(Instant::now()));
-        // Another backend is there some seconds before one leaves.
-        let fresh = backend(number);
-        number += 1;
-        fresh.register(&store, "ready");
-        backends.push(fresh);
-        thread::sleep(Duration::from_millis(1_800));
-        let leaving = backends.remove(0);
+        // Others are there some seconds before these leave, one in each failure domain.
+        let first = (round + 1) * ZONES.len();
+        let fresh: Vec<_> = (first..first + ZONES.len()).map(backend).collect();
+        fresh.iter().for_each(|backend| backend.register(&store, "ready"));
+        // The watches that follow are at any point of their wait.
+        let pause = Duration::from_millis(1_500 + 157 * round as u64);
+        thread::sleep(pause);
+        let leaving = std::mem::replace(&mut backends, fresh);
+        let keys: Vec<String> = leaving.iter().map(|backend| backend.key()).collect();
         let cut = if trouble {
-            store.remove_and_cut(&leaving.key())
+            store.remove_and_cut(&keys)
         } else {
-            store.remove(&leaving.key());
+            keys.iter().for_each(|key| store.remove(key));
             0
         };
         let gone = Instant::now();
-        record.line(&format!("entry of {} removed; {cut} waiting watches cut", leaving.settings.id));
+        record.line(&format!("round {round}: {keys:?} removed; {cut} waiting watches cut"));
         thread::sleep(DRAIN + LONGER);
-        leaving.exit();
-        let late = leaving.runs_after(gone + DRAIN);
-        for run in &late {
-            let after = run.at - gone;
-            let text = format!("{} ran request {} {} ms after", leaving.settings.id, run.id, after.as_millis());
-            record.line_at(run.at, &text);
+        for backend in leaving {
+            backend.exit();
+            let id = &backend.settings.id;
+            let late = backend.runs_after(gone + DRAIN);
+            for run in &late {
+                let after = (run.at - gone).as_millis();
+                record.line_at(run.at, &format!("{id} ran request {} {after} ms after", run.id));
+            }
+            let last = backend.runs_after(gone).last().map_or(0, |run| (run.at - gone).as_millis());
+            let late = late.len();
+            record.line(&format!("{id}: last request {last} ms after, {late} later than drain_ms"));
+            late_runs += late;
         }
-        let last = leaving.runs_after(gone).last().map_or(0, |run| (run.at - gone).as_millis());
-        let text = format!("{}: last request {last} ms after the removal, {} too late", leaving.settings.id, late.len());
-        record.line(&text);
-        late_runs += late.len();
     }
     stop.store(true, Ordering::Relaxed);
     clients.into_iter().for_each(|client| drop(client.join()));
