--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -2,4 +2,4 @@
 # Starts hosts and stand-ins; see claim.txt. TROUBLE=0 leaves out the disruption.
 cd "$(dirname "$0")/../.."
 [ -x target/release/pistachio-node ] && [ -x target/review-standin-3 ] || exit 2
-exec target/review-standin-3 watch-cut review/12/record.txt
+exec target/review-standin-3 cold-again review/12/record.txt
--- a/review/standin-3/backend.rs
+++ b/review/standin-3/backend.rs
@@ -37,6 +37,7 @@
     up: Mutex<bool>,
     stamps: AtomicU64,
     arrivals: AtomicUsize,
+    cold_until: Mutex<Option<Instant>>,
     born: u128,
 }
 
@@ -54,6 +55,7 @@
             up: Mutex::new(true),
             stamps: AtomicU64::new(0),
             arrivals: AtomicUsize::new(0),
+            cold_until: Mutex::default(),
             born,
         });
         let this = Arc::clone(&backend);
@@ -76,9 +78,10 @@
     /// Writes the entry of the backend.
     pub fn register(&self, store: &Store, state: &str) {
         let Settings { service, zone, slots, .. } = &self.settings;
+        let warmup = self.warmup_left().as_millis();
         let entry = format!(
             "{{\"service\":\"{service}\",\"address\":\"{}\",\"zone\":\"{zone}\",\"version\":\"1\",\
-             \"capacity\":{slots},\"state\":\"{state}\",\"warmup_left_ms\":0,\"sequence\":1,\"born\":{}}}",
+             \"capacity\":{slots},\"state\":\"{state}\",\"warmup_left_ms\":{warmup},\"sequence\":1,\"born\":{}}}",
             self.address, self.born
         );
         store.put(&self.key(), &entry);
@@ -90,6 +93,16 @@
         let _ = TcpStream::connect(self.address);
     }
 
+    /// Makes the backend cold for a time, as from now on its health checks state.
+    pub fn set_cold(&self, time: Duration) {
+        *self.cold_until.lock().expect("no thread panics") = Some(Instant::now() + time);
+    }
+
+    fn warmup_left(&self) -> Duration {
+        let until = *self.cold_until.lock().expect("no thread panics");
+        until.map_or(Duration::ZERO, |until| until.saturating_duration_since(Instant::now()))
+    }
+
     pub fn runs_after(&self, time: Instant) -> Vec<Run> {
         let runs = self.runs.lock().expect("no thread panics");
         runs.iter().filter(|run| run.at > time).cloned().collect()
@@ -108,7 +121,8 @@
                 break;
             }
             let answered = if request.word(1) == "/health" {
-                let headers = [("instance-id", self.settings.id.as_str()), ("warmup-ms", "0")];
+                let warmup = self.warmup_left().as_millis().to_string();
+                let headers = [("instance-id", self.settings.id.as_str()), ("warmup-ms", &warmup)];
                 http::write(&mut stream, "HTTP/1.1 200 OK", &headers, b"")
             } else {
                 self.answer(&request, &mut stream)
--- a/review/standin-3/deployment.rs
+++ b/review/standin-3/deployment.rs
@@ -21,7 +21,7 @@
 
 /// Returns a configuration with one route to a service.
 pub fn config(version: u32, service: &str) -> String {
-    let limits = r#""max_conns":110,"warmup_s":0,"cold_per_s":20,"health_path":"/health""#;
+    let limits = r#""max_conns":110,"warmup_s":3,"cold_per_s":20,"health_path":"/health""#;
     format!(
         r#"{{"version":{version},"routes":[{{"name":"records","host":"records.example","prefix":"/records/","type":"idempotent","timeout_ms":2000,"slo_ms":250,"attempts":2,"priority":0,"service":"{service}"}}],"services":[{{"name":"records",{limits}}},{{"name":"records-new",{limits}}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":5000,"idle_timeout_ms":20000}}}}"#
     )
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -1,6 +1,7 @@
 //! Stand-ins and scenarios of the review cases that are scripts.
 
 mod backend;
+mod cold_again;
 mod deployment;
 mod host;
 mod http;
@@ -61,6 +62,7 @@
     let verdict = match scenario.as_str() {
         "watch-cut" => watch_cut::run(&record, &folder, trouble),
         "older-config" => older_config::run(&record, &folder, trouble),
+        "cold-again" => cold_again::run(&record, &folder, trouble),
         "lost-host" => lost_host::run(&record, &folder, trouble),
         _ => Verdict::CouldNotRun,
     };
--- a/review/standin-3/store.rs
+++ b/review/standin-3/store.rs
@@ -137,6 +137,17 @@
         waiting
     }
 
+    /// Cuts the watches that wait, before they are told of what follows. Returns their number.
+    pub fn cut_and(&self, change: impl FnOnce()) -> usize {
+        let mut state = self.lock();
+        state.cuts += 1;
+        let waiting = state.waiting;
+        drop(state);
+        change();
+        self.changed.notify_all();
+        waiting
+    }
+
     pub fn has(&self, key: &str) -> bool {
         self.lock().items.contains_key(key)
     }
--- a/review/standin-3/watch_cut.rs
+++ b/review/standin-3/watch_cut.rs
@@ -1,5 +1,6 @@
 //! Backends leave while the store cuts waiting watches.
 
+use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -37,7 +38,7 @@
         .map(|client| {
             let front = hosts[client % hosts.len()].front;
             let (stop, counts) = (Arc::clone(&stop), Arc::clone(&counts));
-            thread::spawn(move || client_loop(client, front, &stop, &counts))
+            thread::spawn(move || client_loop(client, front, REQUEST_INTERVAL, &stop, &counts))
         })
         .collect();
     thread::sleep(Duration::from_secs(1));
@@ -91,13 +92,20 @@
     if late_runs > 0 { Verdict::Broken } else { Verdict::Held }
 }
 
-fn client_loop(client: usize, front: std::net::SocketAddr, stop: &AtomicBool, counts: &[AtomicU64; 2]) {
+/// Sends requests to a host until `stop` is set; counts those that were served and those that were not.
+pub fn client_loop(
+    client: usize,
+    front: SocketAddr,
+    interval: Duration,
+    stop: &AtomicBool,
+    counts: &[AtomicU64; 2],
+) {
     let mut connection = None;
     let mut number = 0_u64;
-    let mut next = Instant::now() + REQUEST_INTERVAL * client as u32 / CLIENTS as u32;
+    let mut next = Instant::now() + interval * client as u32 / CLIENTS as u32;
     while !stop.load(Ordering::Relaxed) {
         thread::sleep(next.saturating_duration_since(Instant::now()));
-        next += REQUEST_INTERVAL;
+        next += interval;
         number += 1;
         let id = format!("{client:04x}{number:012x}");
         let line = format!("GET /records/{number} HTTP/1.1");
