--- a/review/standin-3/cold_again.rs
+++ b/review/standin-3/cold_again.rs
@@ -6,7 +6,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::deployment::{backend, config, ip, start_hosts};
+use crate::deployment::{HOSTS_PER_ZONE, backend, config, ip, start_hosts};
+use crate::backend::Backend;
 use crate::host::Host;
 use crate::store::Store;
 use crate::watch_cut::client_loop;
@@ -14,11 +15,11 @@
 
 const CLIENTS: usize = 24;
 const REQUEST_INTERVAL: Duration = Duration::from_millis(130);
-const WARMUP: Duration = Duration::from_millis(3_000);
+pub const WARMUP: Duration = Duration::from_millis(3_000);
 /// `heartbeat_ms` in the settings.
-const HEARTBEAT: Duration = Duration::from_millis(1_200);
+pub const HEARTBEAT: Duration = Duration::from_millis(1_200);
 /// `cold_per_s` x `cold_over` + `cold_slack`.
-const MAX_PER_SECOND: usize = 35;
+pub const MAX_PER_SECOND: usize = 35;
 const ROUNDS: usize = 10;
 
 pub fn run(record: &Record, folder: &Path, trouble: bool) -> Verdict {
@@ -26,7 +27,7 @@
     store.put("op/config", &config(7, "records"));
     let backends: Vec<_> = (0..3).map(backend).collect();
     backends.iter().for_each(|backend| backend.register(&store, "ready"));
-    let Some(mut hosts) = start_hosts(record, folder, &store, |_| 0.25) else {
+    let Some(mut hosts) = start_hosts(record, folder, &store, HOSTS_PER_ZONE, |_| 0.25) else {
         return Verdict::CouldNotRun;
     };
     let stop = Arc::new(AtomicBool::new(false));
@@ -57,16 +58,8 @@
             thread::sleep(HEARTBEAT.min(WARMUP.saturating_sub(begin.elapsed())));
             backend.register(&store, "ready");
         }
-        let runs = backend.runs_after(begin);
-        let runs: Vec<Instant> =
-            runs.iter().map(|run| run.at).filter(|at| *at < begin + WARMUP).collect();
-        let within = |from: &Instant| {
-            runs.iter().filter(|at| *at >= from && **at < *from + Duration::from_secs(1)).count()
-        };
-        let most = runs.iter().map(within).max().unwrap_or(0);
-        let late: Vec<u128> = runs.iter().map(|at| (*at - begin).as_millis()).collect();
-        record.line(&format!("{id}: {before} requests in the second before; arrivals while cold, in ms: {late:?}"));
-        record.line(&format!("{id}: at most {most} requests in one second while cold; {MAX_PER_SECOND} allowed"));
+        let most = most_in_a_second(record, backend, begin);
+        record.line(&format!("{id}: {before} requests in the second before"));
         broken += usize::from(most > MAX_PER_SECOND);
     }
     stop.store(true, Ordering::Relaxed);
@@ -78,3 +71,18 @@
     }
     if broken > 0 { Verdict::Broken } else { Verdict::Held }
 }
+
+/// Returns the greatest number of requests that a backend, cold since `begin`, got in one second while cold.
+pub fn most_in_a_second(record: &Record, backend: &Backend, begin: Instant) -> usize {
+    let runs = backend.runs_after(begin);
+    let runs: Vec<Instant> = runs.iter().map(|run| run.at).filter(|at| *at < begin + WARMUP).collect();
+    let within = |from: &Instant| {
+        runs.iter().filter(|at| *at >= from && **at < *from + Duration::from_secs(1)).count()
+    };
+    let most = runs.iter().map(within).max().unwrap_or(0);
+    let id = &backend.settings.id;
+    let arrivals: Vec<u128> = runs.iter().map(|at| (*at - begin).as_millis()).collect();
+    record.line(&format!("{id}: arrivals while cold, in ms: {arrivals:?}"));
+    record.line(&format!("{id}: at most {most} requests in one second while cold; {MAX_PER_SECOND} allowed"));
+    most
+}
--- a/review/standin-3/deployment.rs
+++ b/review/standin-3/deployment.rs
@@ -1,4 +1,4 @@
-//! A small deployment: three failure domains with two hosts each, a store, and backends.
+//! A small deployment: three failure domains with some hosts each, a store, and backends.
 
 use std::path::Path;
 use std::sync::Arc;
@@ -11,6 +11,7 @@
 use crate::store::Store;
 
 pub const ZONES: [&str; 3] = ["swan-upper", "canning-reach", "fremantle-mouth"];
+/// Hosts of each failure domain, unless a scenario needs another number.
 pub const HOSTS_PER_ZONE: usize = 2;
 
 /// Returns a loopback address of this process.
@@ -50,16 +51,17 @@
     record: &Record,
     folder: &Path,
     store: &Arc<Store>,
+    per_zone: usize,
     cpu_share: impl Fn(usize) -> f64,
 ) -> Option<Vec<Host>> {
-    let places: Vec<(String, &str)> = (0..ZONES.len() * HOSTS_PER_ZONE)
-        .map(|index| (ip(10 + index), ZONES[index / HOSTS_PER_ZONE]))
+    let places: Vec<(String, &str)> = (0..ZONES.len() * per_zone)
+        .map(|index| (ip(10 + index), ZONES[index / per_zone]))
         .collect();
     let controls: Vec<_> = places.iter().map(|(ip, _)| control_address(ip)).collect();
-    let seeds = [controls[0], controls[2], controls[4]];
+    let seeds = [controls[0], controls[per_zone], controls[2 * per_zone]];
     let mut hosts = Vec::new();
     for (index, (ip, zone)) in places.iter().enumerate() {
-        let name = format!("front-{zone}-{}", index % HOSTS_PER_ZONE + 1);
+        let name = format!("front-{zone}-{}", index % per_zone + 1);
         let place = Place {
             zone,
             ip: ip.clone(),
--- a/review/standin-3/host.rs
+++ b/review/standin-3/host.rs
@@ -150,6 +150,14 @@
         false
     }
 
+    /// Sends a signal to the process, by the name of the signal.
+    pub fn signal(&self, name: &str) {
+        if let Some(process) = &self.process {
+            let command = format!("kill -{name} {}", process.id());
+            let _ = Command::new("sh").args(["-c", &command]).status();
+        }
+    }
+
     pub fn kill(&mut self) {
         if let Some(mut process) = self.process.take() {
             let _ = process.kill();
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -8,6 +8,7 @@
 mod json;
 mod lost_host;
 mod older_config;
+mod still_host;
 mod store;
 mod watch_cut;
 
@@ -63,6 +64,7 @@
         "watch-cut" => watch_cut::run(&record, &folder, trouble),
         "older-config" => older_config::run(&record, &folder, trouble),
         "cold-again" => cold_again::run(&record, &folder, trouble),
+        "still-host" => still_host::run(&record, &folder, trouble),
         "lost-host" => lost_host::run(&record, &folder, trouble),
         _ => Verdict::CouldNotRun,
     };
--- a/review/standin-3/older_config.rs
+++ b/review/standin-3/older_config.rs
@@ -7,7 +7,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::deployment::{backend, backend_of, config, ip, start_hosts};
+use crate::deployment::{HOSTS_PER_ZONE, backend, backend_of, config, ip, start_hosts};
 use crate::host::Host;
 use crate::http::Connection;
 use crate::store::Store;
@@ -40,7 +40,7 @@
     let new: Vec<_> = (3..6).map(|number| backend_of("records-new", number)).collect();
     old.iter().chain(&new).for_each(|backend| backend.register(&store, "ready"));
     let cpu_share = |index| if index == SMALL { 0.12 } else { 0.5 };
-    let Some(mut hosts) = start_hosts(record, folder, &store, cpu_share) else {
+    let Some(mut hosts) = start_hosts(record, folder, &store, HOSTS_PER_ZONE, cpu_share) else {
         return Verdict::CouldNotRun;
     };
     let stop = Arc::new(AtomicBool::new(false));
--- a/review/standin-3/watch_cut.rs
+++ b/review/standin-3/watch_cut.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use crate::backend::Backend;
-use crate::deployment::{ZONES, backend, config, ip, start_hosts};
+use crate::deployment::{HOSTS_PER_ZONE, ZONES, backend, config, ip, start_hosts};
 use crate::host::Host;
 use crate::http::Connection;
 use crate::store::Store;
@@ -29,7 +29,7 @@
     store.put("op/config", &config(7, "records"));
     let mut backends: Vec<Arc<Backend>> = (0..3).map(backend).collect();
     backends.iter().for_each(|backend| backend.register(&store, "ready"));
-    let Some(mut hosts) = start_hosts(record, folder, &store, |_| 0.25) else {
+    let Some(mut hosts) = start_hosts(record, folder, &store, HOSTS_PER_ZONE, |_| 0.25) else {
         return Verdict::CouldNotRun;
     };
     let stop = Arc::new(AtomicBool::new(false));
