--- a/review/standin-3/http.rs
+++ b/review/standin-3/http.rs
@@ -69,7 +69,12 @@
 }
 
 /// Writes a message with its length.
-pub fn write(stream: &mut TcpStream, line: &str, headers: &[(&str, &str)], body: &[u8]) -> Result<()> {
+pub fn write(
+    stream: &mut TcpStream,
+    line: &str,
+    headers: &[(&str, &str)],
+    body: &[u8],
+) -> Result<()> {
     let mut text = format!("{line}\r\n");
     for (name, value) in headers {
         text += &format!("{name}: {value}\r\n");
--- a/review/standin-3/older_config.rs
+++ b/review/standin-3/older_config.rs
@@ -68,10 +68,13 @@
         record.line("the store turns no host away");
         let newer = if moves_to_new { &new } else { &old };
         let is_newer = |answer: &Answer| {
-            newer.iter().any(|backend| answer.stamp.starts_with(&format!("{}.", backend.settings.id)))
+            newer
+                .iter()
+                .any(|backend| answer.stamp.starts_with(&format!("{}.", backend.settings.id)))
         };
         let answers = answers.lock().expect("no thread panics");
-        let first = answers.iter().filter(|answer| is_newer(answer)).map(|answer| answer.received).min();
+        let first =
+            answers.iter().filter(|answer| is_newer(answer)).map(|answer| answer.received).min();
         let Some(first) = first else { return Verdict::CouldNotRun };
         record.line_at(first, &format!("first answer as of version {version}"));
         let mut late = 0;
@@ -83,7 +86,10 @@
                 late += 1;
             }
         }
-        record.line(&format!("{} answers, {late} as of an older version later than that", answers.len()));
+        record.line(&format!(
+            "{} answers, {late} as of an older version later than that",
+            answers.len()
+        ));
         regressed += late;
     }
     stop.store(true, Ordering::Relaxed);
@@ -103,12 +109,14 @@
         number += 1;
         let id = format!("{number:016x}");
         let line = format!("GET /records/{number} HTTP/1.1");
-        let headers = [("host", "records.example"), ("request-id", id.as_str()), ("deadline-ms", "2000")];
+        let headers =
+            [("host", "records.example"), ("request-id", id.as_str()), ("deadline-ms", "2000")];
         if connection.is_none() {
             connection = Connection::open(front, Duration::from_secs(3)).ok();
         }
         let sent = Instant::now();
-        let answer = connection.as_mut().and_then(|connection| connection.call(&line, &headers, b""));
+        let answer =
+            connection.as_mut().and_then(|connection| connection.call(&line, &headers, b""));
         let received = Instant::now();
         let Some(answer) = answer else {
             connection = None;
