--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -6,7 +6,7 @@
 mod host;
 mod http;
 mod json;
-mod older_config;
+mod silent_restart;
 mod still_host;
 mod store;
 mod watch_cut;
@@ -61,8 +61,8 @@
     }
     let verdict = match scenario.as_str() {
         "watch-cut" => watch_cut::run(&record, &folder, trouble),
-        "older-config" => older_config::run(&record, &folder, trouble),
         "cold-again" => cold_again::run(&record, &folder, trouble),
+        "silent-restart" => silent_restart::run(&record, &folder, trouble),
         "still-host" => still_host::run(&record, &folder, trouble),
         _ => Verdict::CouldNotRun,
     };
