--- a/review/standin-3/host.rs
+++ b/review/standin-3/host.rs
@@ -130,6 +130,11 @@
             .stderr(Stdio::inherit())
             .spawn();
         self.process = process.ok();
+        // `run.sh` ends the processes in this file if it is stopped itself.
+        if let (Some(process), Ok(path)) = (&self.process, std::env::var("PIDS")) {
+            let file = std::fs::OpenOptions::new().create(true).append(true).open(path);
+            let _ = file.and_then(|mut file| writeln!(file, "{}", process.id()));
+        }
     }
 
     /// Returns whether the process runs and its readiness check succeeds within a time.
